--- /dev/null
+++ b/cmd/gooseberryroad/main.go
@@ -0,0 +1,13 @@
+// Command gooseberryroad serves long model generations on engines that fail.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/gooseberryroad/gooseberryroad/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/kernel/registry.go
@@ -0,0 +1,82 @@
+// Package kernel is the registry of modules. A module registers itself by ID
+// in an init function; the command imports the modules it ships with.
+package kernel
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// Module is one self-registering driver.
+type Module struct {
+	// ID is NAMESPACE.NAME, such as "engine.completions".
+	ID string
+	// New makes an instance. Its type is the interface of the namespace:
+	// engine.Client, store.Store, vmlist.Lister.
+	New func(Options) (any, error)
+}
+
+// Options configure an instance of a module.
+type Options struct {
+	// Address is the HOST:PORT of the system that the driver talks to, where
+	// there is a single one.
+	Address string
+	// Params holds further settings of the driver by key.
+	Params map[string]string
+}
+
+var (
+	mu      sync.Mutex
+	modules = map[string]Module{}
+)
+
+// Register adds a module. A second module with the same ID is a programming
+// error and panics.
+func Register(m Module) {
+	mu.Lock()
+	defer mu.Unlock()
+	if !strings.Contains(m.ID, ".") || m.New == nil {
+		panic(fmt.Sprintf("kernel: module %q needs an ID of the form NAMESPACE.NAME and a constructor", m.ID))
+	}
+	if _, ok := modules[m.ID]; ok {
+		panic(fmt.Sprintf("kernel: module %q is registered twice", m.ID))
+	}
+	modules[m.ID] = m
+}
+
+// IDs returns the IDs of the modules of a namespace in order.
+func IDs(namespace string) []string {
+	mu.Lock()
+	defer mu.Unlock()
+	var ids []string
+	for id := range modules {
+		if strings.HasPrefix(id, namespace+".") {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Load makes an instance of the module with the given ID as a T.
+func Load[T any](id string, o Options) (T, error) {
+	var zero T
+	mu.Lock()
+	m, ok := modules[id]
+	mu.Unlock()
+	if !ok {
+		ns, _, _ := strings.Cut(id, ".")
+		return zero, fmt.Errorf("unknown module %q; known: %s", id, strings.Join(IDs(ns), ", "))
+	}
+	v, err := m.New(o)
+	if err != nil {
+		return zero, fmt.Errorf("module %s: %w", id, err)
+	}
+	t, ok := v.(T)
+	if !ok {
+		return zero, fmt.Errorf("module %s does not implement %T", id, &zero)
+	}
+	return t, nil
+}
