inflight: limit what daemons hold at one upstream without an agreement

Cause: an engine fails when held requests outgrow its memory; load reports lag, get lost and stop, and several daemons act on the same report. Change: growth counts from the least held within the report's lag and is a daemon's Nth part of the free budget; without fresh reports a floor applies. Conclusion: kept; the price is that 0.4 M is never budgeted.

--- /dev/null
+++ b/inflight/inflight_test.go
@@ -0,0 +1,177 @@
+package inflight_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/inflight"
+)
+
+func TestInFlight(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "inflight")
+}
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+const memory = 1 << 20
+
+var _ = Describe("Limiter", func() {
+	It("sets no limit while the memory is unknown", func() {
+		l := inflight.New(0)
+		Expect(l.Acquire(start, 1<<40)).To(BeTrue())
+	})
+
+	// Guards against a daemon that takes what the report shows as free although
+	// the others see the same report.
+	It("grows by its part of the free budget", func() {
+		l := inflight.New(memory)
+		l.SetDaemons(4)
+		l.Observe(start, inflight.Report{HeldBytes: 0, MemoryBytes: memory})
+		limit, _ := l.Limit(start)
+		Expect(limit).To(BeNumerically("~", 0.6*memory/4, 1))
+	})
+
+	// Guards against growth on a report that describes a time long gone.
+	It("keeps to the floor without fresh reports", func() {
+		l := inflight.New(memory)
+		l.SetDaemons(4)
+		l.Observe(start, inflight.Report{MemoryBytes: memory})
+		limit, _ := l.Limit(start.Add(inflight.MaxReportAge + 1))
+		Expect(limit).To(BeNumerically("~", 0.2*memory/4, 1))
+	})
+
+	// Guards against an upstream that fails because held requests outgrow its
+	// memory, with lagging, lost and stopped reports and uneven load.
+	It("never lets all daemons together outgrow the memory", func() {
+		for seed := uint64(1); seed <= 60; seed++ {
+			peak := simulate(seed)
+			Expect(peak).To(BeNumerically("<=", memory), "seed %d", seed)
+		}
+	})
+
+	// Guards against a limit that is safe only because it lets nothing through.
+	It("lets steady load use at least half of the memory", func() {
+		var total float64
+		for seed := uint64(1); seed <= 10; seed++ {
+			total += float64(steady(seed)) / memory
+		}
+		Expect(total / 10).To(BeNumerically(">=", 0.5))
+	})
+})
+
+type job struct {
+	daemon int
+	bytes  int64
+	until  time.Time
+}
+
+// simulate runs 60 s of virtual time with faults and returns the peak of held bytes.
+func simulate(seed uint64) int64 {
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	n := 2 + rnd.IntN(8)
+	limiters := make([]*inflight.Limiter, n)
+	lossy := make([]float64, n)
+	for i := range limiters {
+		limiters[i] = inflight.New(memory)
+		limiters[i].SetDaemons(n)
+		lossy[i] = rnd.Float64() * 0.8
+	}
+	stopped := start.Add(time.Duration(10+rnd.IntN(40)) * time.Second)
+	resumed := stopped.Add(time.Duration(rnd.IntN(15)) * time.Second)
+	lag := time.Duration(rnd.IntN(2000)) * time.Millisecond
+	var jobs []job
+	var held, peak int64
+	type past struct {
+		at   time.Time
+		held int64
+	}
+	var history []past
+	for step := range 6000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		kept := jobs[:0]
+		for _, j := range jobs {
+			if now.Before(j.until) {
+				kept = append(kept, j)
+				continue
+			}
+			held -= j.bytes
+			limiters[j.daemon].Release(now, j.bytes)
+		}
+		jobs = kept
+		busy := (step / 500) % n // load moves from daemon to daemon
+		for range 4 {
+			d := busy
+			if rnd.IntN(3) == 0 {
+				d = rnd.IntN(n)
+			}
+			bytes := int64(1000 + rnd.IntN(4000))
+			if limiters[d].Acquire(now, bytes) {
+				jobs = append(jobs, job{d, bytes, now.Add(time.Duration(200+rnd.IntN(8000)) * time.Millisecond)})
+				held += bytes
+			}
+		}
+		peak = max(peak, held)
+		history = append(history, past{now, held})
+		if step%50 != 0 || (now.After(stopped) && now.Before(resumed)) {
+			continue
+		}
+		var reported int64
+		for _, p := range history {
+			if now.Sub(p.at) >= lag {
+				reported = p.held
+			}
+		}
+		for i, l := range limiters {
+			if rnd.Float64() >= lossy[i] {
+				l.Observe(now, inflight.Report{HeldBytes: reported, MemoryBytes: memory})
+			}
+		}
+	}
+	return peak
+}
+
+// steady returns the mean held bytes under a load that asks for more than fits.
+func steady(seed uint64) int64 {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	const n = 9
+	var limiters [n]*inflight.Limiter
+	for i := range limiters {
+		limiters[i] = inflight.New(memory)
+		limiters[i].SetDaemons(n)
+	}
+	var jobs []job
+	var held, sum int64
+	for step := range 3000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		kept := jobs[:0]
+		for _, j := range jobs {
+			if now.Before(j.until) {
+				kept = append(kept, j)
+				continue
+			}
+			held -= j.bytes
+			limiters[j.daemon].Release(now, j.bytes)
+		}
+		jobs = kept
+		for d := range limiters {
+			if limiters[d].Acquire(now, 2000) {
+				jobs = append(jobs, job{d, 2000, now.Add(time.Duration(500+rnd.IntN(2000)) * time.Millisecond)})
+				held += 2000
+			}
+		}
+		if step%50 == 0 {
+			for _, l := range limiters {
+				l.Observe(now, inflight.Report{HeldBytes: held, MemoryBytes: memory})
+			}
+		}
+		if step >= 1000 {
+			sum += held
+		}
+	}
+	return sum / 2000
+}
