Add the control loop, documents by revision and the operator API

This is the thin version: one daemon, no peers.

- revision holds documents by store index.
The highest accepted revision wins whatever the order of arrival; a document with mistakes takes no effect.
Accepting the last entry that arrived was ruled out, because a stale list would revert a document.
- membership.Upstreams judges upstreams from reports, refusals, the list of VMs and the document.
- control.Loop runs it.
Each watch has its own client; a watch without an answer for twice its wait is given up and opened on a new one.
- operator serves changes with compare-and-swap, status, events and health.

--- /dev/null
+++ b/node/events.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/store"
+	"github.com/gooseberryroad/gooseberryroad/vmlist"
+)
+
+// Event is an input of a node.
+type Event interface{ event() }
+
+// StoreListed is the result of a WatchStore action.
+type StoreListed struct {
+	Prefix string
+	// Watch is the number of the action that asked, 0 for a list that nobody
+	// waits for.
+	Watch   uint64
+	Entries []store.Entry
+	Index   uint64
+	Err     error
+}
+
+// StoreWrote is the result of a write to the store, by a WriteStore action or
+// by the operator API. Index is the new index of the key.
+type StoreWrote struct {
+	Key   string
+	Value []byte
+	Index uint64
+	Err   error
+}
+
+// VMsListed is a reading of the platform's list of VMs.
+type VMsListed struct {
+	VMs []vmlist.VM
+	Err error
+}
+
+// LoadReported is the result of a PollLoad action.
+type LoadReported struct {
+	Address string
+	Load    engine.Load
+	Err     error
+	// Refused is set when the connection was refused: nothing listens there.
+	Refused bool
+}
+
+// UpstreamRefused reports what traffic saw at an upstream.
+type UpstreamRefused struct {
+	Service, Upstream string
+	// Incarnation is the engine process that the work was sent to, empty when
+	// it is not known.
+	Incarnation string
+	// Leaving: the upstream answered that it takes no new work because it
+	// stops. Otherwise it refused the connection.
+	Leaving bool
+}
+
+// Crash reports that traffic lost an upstream while requests ran there.
+type Crash struct {
+	Service, Upstream, Incarnation string
+	At                             time.Time
+	// InFlight are the content hashes of the requests that ran there.
+	InFlight []string
+}
+
+// Sampled is what traffic observed of one finished or failed request.
+type Sampled struct {
+	Sample Sample
+}
+
+// Sample is one observation for the judgement of versions.
+type Sample struct {
+	Service, Version, Route, Upstream string
+	At                                time.Time
+	Failed, Crashed, Truncated, Empty bool
+	FirstToken, BetweenTokens         time.Duration
+	Load                              float64
+	Poison, UpstreamLost              bool
+}
+
+// Drain stops new work at this daemon.
+type Drain struct{}
+
+// Tick lets time pass. The owner of the node posts one every TickInterval.
+type Tick struct{}
+
+// TickInterval is the resolution of the node's timers.
+const TickInterval = 100 * time.Millisecond
+
+func (StoreListed) event()     {}
+func (StoreWrote) event()      {}
+func (VMsListed) event()       {}
+func (LoadReported) event()    {}
+func (UpstreamRefused) event() {}
+func (Crash) event()           {}
+func (Sampled) event()         {}
+func (Drain) event()           {}
+func (Tick) event()            {}
+
+// Action is an output of a node.
+type Action interface{ action() }
+
+// WatchStore asks for a List of the store and a StoreListed event with its
+// result. Another WatchStore of the same prefix replaces an earlier one that
+// has not returned, and must not use its connection.
+type WatchStore struct {
+	Prefix string
+	Watch  uint64
+	// Index is the index to wait for; 0 lists at once.
+	Index uint64
+	Wait  time.Duration
+}
+
+// UnwatchStore ends the watch of a prefix.
+type UnwatchStore struct{ Prefix string }
+
+// WriteStore asks for a compare-and-swap and a StoreWrote event.
+type WriteStore struct {
+	Key   string
+	Value []byte
+	Index uint64
+}
+
+// PollLoad asks for a load report and a LoadReported event.
+type PollLoad struct {
+	Driver, Address string
+}
+
+// ListVMs asks for the list of VMs and a VMsListed event.
+type ListVMs struct{}
+
+// Explain records why the system did something.
+type Explain struct {
+	// Subject is service/NAME, upstream/ADDRESS, peer/NAME or store.
+	Subject, Text string
+}
+
+func (WatchStore) action()   {}
+func (UnwatchStore) action() {}
+func (WriteStore) action()   {}
+func (PollLoad) action()     {}
+func (ListVMs) action()      {}
+func (Explain) action()      {}
--- /dev/null
+++ b/node/publish.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"maps"
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/revision"
+)
+
+// publish builds the next snapshot. Views of services that did not change are
+// shared with the last one.
+func (n *Node) publish(now time.Time) {
+	s := *n.snap
+	s.Seq++
+	s.Draining, s.StoreReachable, s.Configured, s.Applied = n.draining, n.storeOK, n.configured, n.applied
+	if len(n.dirty) > 0 {
+		s.Services = maps.Clone(s.Services)
+		for name := range n.dirty {
+			r := n.revs.InForce(name)
+			if r == nil || r.Doc == nil {
+				delete(s.Services, name)
+				continue
+			}
+			s.Services[name] = n.view(now, r)
+		}
+	}
+	s.Rejected = map[string]Rejection{}
+	for _, name := range n.revs.Names() {
+		if r := n.revs.RejectedOf(name); r != nil {
+			s.Rejected[name] = Rejection{Revision: r.Revision, Author: author(r), Problems: r.Problems}
+		}
+	}
+	n.snap = &s
+	n.dirty, n.changed, n.urgent = map[string]bool{}, false, false
+}
+
+func (n *Node) view(now time.Time, r *revision.Record) *ServiceView {
+	v := &ServiceView{
+		Doc: r.Doc, Revision: r.Revision, Text: r.Envelope.Document, Author: author(r),
+		Shares: shares(r.Doc), Upstreams: make([]UpstreamView, len(r.Doc.Upstreams)),
+	}
+	for i, u := range r.Doc.Upstreams {
+		load, incarnation, at := n.ups.Reported(u.Address)
+		v.Upstreams[i] = UpstreamView{
+			Upstream: u, State: n.ups.State(now, u.Address), Incarnation: incarnation,
+			Running: load.Running, Waiting: load.Waiting, HeldBytes: load.HeldBytes,
+			ReportedMemory: load.MemoryBytes, ReportedAt: at,
+		}
+	}
+	return v
+}
+
+// shares gives all new requests to the serving version. The rollout of a next
+// version replaces this.
+func shares(s *document.Service) map[string]float64 {
+	return map[string]float64{s.Versions.Serving: 1}
+}
+
+func author(r *revision.Record) Author {
+	return Author{Team: r.Envelope.Team, Operator: r.Envelope.Operator, At: r.Envelope.At}
+}
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -4,30 +4,21 @@
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/membership"
 )
 
 // UpstreamState is what the daemon believes about an upstream.
-type UpstreamState int
+type UpstreamState = membership.UpstreamState
 
+// States of upstreams; see package membership.
 const (
-	// UpstreamUnknown upstreams have not reported yet; they may get work.
-	UpstreamUnknown UpstreamState = iota
-	// UpstreamAlive upstreams reported recently.
-	UpstreamAlive
-	// UpstreamSilent upstreams missed reports; they get new work only when no
-	// other is left.
-	UpstreamSilent
-	// UpstreamLeaving upstreams finish their work and get no new work.
-	UpstreamLeaving
-	// UpstreamDead upstreams refused a connection or came back with a new
-	// incarnation; work that ran there is lost.
-	UpstreamDead
+	UpstreamUnknown = membership.UpstreamUnknown
+	UpstreamAlive   = membership.UpstreamAlive
+	UpstreamSilent  = membership.UpstreamSilent
+	UpstreamLeaving = membership.UpstreamLeaving
+	UpstreamDead    = membership.UpstreamDead
 )
 
-func (s UpstreamState) String() string {
-	return [...]string{"unknown", "alive", "silent", "leaving", "dead"}[s]
-}
-
 // Snapshot is an immutable view of the control state. Parts that did not
 // change are shared between snapshots and never written again.
 type Snapshot struct {
@@ -41,6 +32,40 @@
 	StoreReachable bool
 	// Peers are the names of live daemons, this one included, in order.
 	Peers []string
+	// Configured is set once documents came from the store or from a peer.
+	Configured bool
+	// Applied is a store index: all documents up to it have arrived.
+	Applied uint64
+	// Rejected are documents that did not take effect, by service.
+	Rejected map[string]Rejection
+	// Members are the live daemons, this one included, by name.
+	Members []MemberView
+}
+
+// MemberView is a live daemon as this one sees it.
+type MemberView struct {
+	Name, DataCentre, Region string
+	// Applied is the store index up to which the daemon has all documents. It
+	// travels with heartbeats and so lags.
+	Applied uint64
+	// StoreDown is set while the daemon cannot reach the store.
+	StoreDown bool
+	// Linked is set when this daemon has a link to it.
+	Linked bool
+}
+
+// Rejection is a stored document that did not take effect.
+type Rejection struct {
+	Revision uint64
+	Author   Author
+	Problems document.Problems
+}
+
+// Author is who wrote a document.
+type Author struct {
+	Team     string
+	Operator string
+	At       time.Time
 }
 
 // ServiceView is one service as the daemon applies it.
@@ -48,6 +73,9 @@
 	Doc *document.Service
 	// Revision is the store index of the document.
 	Revision uint64
+	// Text is the document as its author wrote it.
+	Text   string
+	Author Author
 	// Shares is the share of new requests for each version; they sum to 1.
 	Shares map[string]float64
 	// Upstreams are in the document's order.
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/revision"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+var watchedPrefixes = []string{revision.Prefix, MovesPrefix}
+
+// minWatchGap bounds how often a watch is armed again during a burst of
+// changes: the store counts each call.
+const minWatchGap = 100 * time.Millisecond
+
+// maxBackoff bounds the pause after store errors. It is part of the time in
+// which a daemon sees a change after an outage.
+const maxBackoff = 2 * time.Second
+
+// watch is the state of the watch of one prefix.
+type watch struct {
+	prefix string
+	// id is the number of the call that is waited for, 0 when there is none.
+	id       uint64
+	issuedAt time.Time
+	wait     time.Duration
+	// index is where the next call waits; 0 lists at once.
+	index    uint64
+	listedAt time.Time
+	nextAt   time.Time
+	failures int
+}
+
+func (n *Node) tickWatches(now time.Time) []Action {
+	var out []Action
+	for _, prefix := range watchedPrefixes {
+		w := n.watches[prefix]
+		if !n.watching() {
+			if w.id != 0 {
+				w.id, w.index = 0, 0
+				out = append(out, UnwatchStore{Prefix: prefix})
+			}
+			continue
+		}
+		if w.id != 0 && now.Sub(w.issuedAt) > 2*w.wait {
+			// A connection can go silent for good without an error.
+			out = append(out, Explain{Subject: "store", Text: fmt.Sprintf(
+				"the watch of %s returned nothing for %s and is opened again on a new connection", prefix, now.Sub(w.issuedAt).Round(time.Millisecond))})
+			n.watchFailed(now, w)
+			w.nextAt = now
+		}
+		if w.id != 0 || now.Before(w.nextAt) {
+			continue
+		}
+		if now.Sub(w.listedAt) > n.o.RelistInterval {
+			w.index = 0
+		}
+		n.watchSeq++
+		w.id, w.issuedAt, w.wait = n.watchSeq, now, n.o.WatchWait
+		if w.index == 0 {
+			w.wait = n.o.ListWait
+		}
+		out = append(out, WatchStore{Prefix: prefix, Watch: w.id, Index: w.index, Wait: w.wait})
+	}
+	return out
+}
+
+// watching reports whether this daemon holds the watches.
+func (n *Node) watching() bool { return true }
+
+func (n *Node) watchFailed(now time.Time, w *watch) {
+	w.id, w.index = 0, 0
+	w.failures++
+	w.nextAt = now.Add(backoff(n.o.Rand, w.failures))
+	if n.storeOK {
+		n.storeOK, n.changed = false, true
+	}
+}
+
+// backoff doubles from 100 ms to maxBackoff and is jittered to between a half
+// and the whole of it, so that daemons do not return to a store that comes back
+// at the same instant.
+func backoff(rnd *rand.Rand, failures int) time.Duration {
+	d := maxBackoff
+	if failures < 6 {
+		d = min(maxBackoff, 50*time.Millisecond<<failures)
+	}
+	return d/2 + time.Duration(rnd.Int64N(int64(d/2)))
+}
+
+func (n *Node) listed(now time.Time, ev StoreListed) []Action {
+	var out []Action
+	// Entries are of use whichever call they answer: revisions protect them.
+	if ev.Err == nil {
+		for _, e := range ev.Entries {
+			if strings.HasPrefix(e.Key, ev.Prefix) {
+				out = append(out, n.offer(now, e, "the store")...)
+			}
+		}
+		if ev.Prefix == revision.Prefix {
+			if !n.configured || ev.Index > n.applied {
+				n.configured, n.applied, n.changed = true, max(n.applied, ev.Index), true
+			}
+		}
+	}
+	w := n.watches[ev.Prefix]
+	if w == nil || w.id == 0 || w.id != ev.Watch {
+		return out
+	}
+	if ev.Err != nil {
+		if w.failures == 0 {
+			out = append(out, Explain{Subject: "store", Text: fmt.Sprintf("the watch of %s failed: %v", ev.Prefix, ev.Err)})
+		}
+		n.watchFailed(now, w)
+		return out
+	}
+	if w.index == 0 {
+		w.listedAt = now
+	}
+	if ev.Index < w.index || ev.Prefix == revision.Prefix && ev.Index < n.applied {
+		// A stale answer, or a store that lost its history. Waiting for the
+		// old index could take for ever, so list again after a pause.
+		if w.failures == 0 {
+			out = append(out, Explain{Subject: "store", Text: fmt.Sprintf(
+				"a list of %s at index %d is older than index %d, which was seen before; listing again", ev.Prefix, ev.Index, max(w.index, n.applied))})
+		}
+		n.watchFailed(now, w)
+		return out
+	}
+	w.id, w.index, w.failures = 0, ev.Index, 0
+	w.nextAt = w.issuedAt.Add(minWatchGap)
+	if !n.storeOK {
+		n.storeOK, n.changed = true, true
+	}
+	return append(out, n.tickWatches(now)...)
+}
+
+func (n *Node) wrote(now time.Time, ev StoreWrote) []Action {
+	if ev.Err != nil || ev.Index == 0 {
+		return nil
+	}
+	return n.offer(now, store.Entry{Key: ev.Key, Value: ev.Value, Index: ev.Index}, "the operator API of this daemon")
+}
--- /dev/null
+++ b/operator/read.go
@@ -0,0 +1,199 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/gooseberryroad/gooseberryroad/control"
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/node"
+)
+
+// serviceBody describes a service in lists and with its document.
+type serviceBody struct {
+	Name     string    `json:"name"`
+	Team     string    `json:"team"`
+	Operator string    `json:"operator,omitempty"`
+	At       time.Time `json:"at"`
+	Kind     string    `json:"kind"`
+	Revision uint64    `json:"revision"`
+	Serving  string    `json:"serving"`
+	Next     string    `json:"next,omitempty"`
+	Document string    `json:"document,omitempty"`
+}
+
+type listBody struct {
+	Daemon   string        `json:"daemon"`
+	Services []serviceBody `json:"services"`
+}
+
+func describe(v *node.ServiceView) serviceBody {
+	return serviceBody{
+		Name: v.Doc.Name, Team: v.Doc.Team, Operator: v.Author.Operator, At: v.Author.At, Kind: string(v.Doc.Kind),
+		Revision: v.Revision, Serving: v.Doc.Versions.Serving, Next: v.Doc.Versions.Next,
+	}
+}
+
+func (s *Server) list(c *gin.Context) {
+	snap := s.o.Control.Snapshot()
+	body := listBody{Daemon: s.o.Daemon, Services: []serviceBody{}}
+	for _, name := range sortedNames(snap.Services) {
+		body.Services = append(body.Services, describe(snap.Services[name]))
+	}
+	c.JSON(http.StatusOK, body)
+}
+
+// get returns the document in force. It needs a team's key, because documents
+// hold hashes of account keys.
+func (s *Server) get(c *gin.Context) {
+	if _, ok := s.team(c); !ok {
+		return
+	}
+	v := s.o.Control.Snapshot().Services[c.Param("name")]
+	if v == nil {
+		fail(c, http.StatusNotFound, "unknown_service", "", "there is no service "+c.Param("name"))
+		return
+	}
+	body := describe(v)
+	body.Document = v.Text
+	c.Header("ETag", fmt.Sprintf(`"%d"`, v.Revision))
+	c.JSON(http.StatusOK, body)
+}
+
+// statusBody is what the system did with a service and why.
+type statusBody struct {
+	Daemon  string `json:"daemon"`
+	Service string `json:"service"`
+	// Revision is in force at this daemon, 0 when there is none.
+	Revision uint64 `json:"revision"`
+	Serving  string `json:"serving,omitempty"`
+	Next     string `json:"next,omitempty"`
+	// MovePhase and MoveReason describe a version move that is known.
+	MovePhase  string             `json:"move_phase,omitempty"`
+	MoveReason string             `json:"move_reason,omitempty"`
+	Shares     map[string]float64 `json:"shares,omitempty"`
+	Upstreams  []upstreamBody     `json:"upstreams,omitempty"`
+	Rejected   *rejectedBody      `json:"rejected,omitempty"`
+	// InForceEverywhere is set when all live daemons have the revision.
+	InForceEverywhere bool         `json:"in_force_everywhere"`
+	Daemons           []daemonBody `json:"daemons"`
+	StoreReachable    bool         `json:"store_reachable"`
+	// Words says the same in sentences.
+	Words  []string        `json:"words"`
+	Events []control.Event `json:"events"`
+}
+
+type upstreamBody struct {
+	Name        string `json:"name"`
+	Version     string `json:"version"`
+	DataCentre  string `json:"datacentre"`
+	State       string `json:"state"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	Incarnation string `json:"incarnation,omitempty"`
+}
+
+type rejectedBody struct {
+	Revision uint64            `json:"revision"`
+	Team     string            `json:"team,omitempty"`
+	Operator string            `json:"operator,omitempty"`
+	Problems document.Problems `json:"problems"`
+}
+
+type daemonBody struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"datacentre"`
+	// Applied is a store index: the daemon has all documents up to it.
+	Applied uint64 `json:"applied"`
+	InForce bool   `json:"in_force"`
+}
+
+func (s *Server) status(c *gin.Context) {
+	name := c.Param("name")
+	snap := s.o.Control.Snapshot()
+	v, rejected, isRejected := snap.Services[name], snap.Rejected[name], false
+	_, isRejected = snap.Rejected[name]
+	if v == nil && !isRejected {
+		fail(c, http.StatusNotFound, "unknown_service", "", "there is no service "+name)
+		return
+	}
+	b := statusBody{Daemon: s.o.Daemon, Service: name, StoreReachable: snap.StoreReachable,
+		Daemons: []daemonBody{}, Events: s.o.Control.Events().List("service/"+name, 0)}
+	if v != nil {
+		b.Revision, b.Serving, b.Next = v.Revision, v.Doc.Versions.Serving, v.Doc.Versions.Next
+		b.Shares = v.Shares
+		for _, u := range v.Upstreams {
+			b.Upstreams = append(b.Upstreams, upstreamBody{Name: u.Name, Version: u.Version, DataCentre: u.DataCentre,
+				State: u.State.String(), Running: u.Running, Waiting: u.Waiting, Incarnation: u.Incarnation})
+		}
+	}
+	if isRejected {
+		b.Rejected = &rejectedBody{Revision: rejected.Revision, Team: rejected.Author.Team,
+			Operator: rejected.Author.Operator, Problems: rejected.Problems}
+	}
+	b.InForceEverywhere = b.Revision != 0
+	for _, m := range snap.Members {
+		d := daemonBody{Name: m.Name, DataCentre: m.DataCentre, Applied: m.Applied,
+			InForce: m.Name == s.o.Daemon || m.Applied >= b.Revision}
+		b.InForceEverywhere = b.InForceEverywhere && d.InForce
+		b.Daemons = append(b.Daemons, d)
+	}
+	b.Words = words(&b, v)
+	if strings.Contains(c.GetHeader("Accept"), "text/plain") {
+		c.String(http.StatusOK, strings.Join(b.Words, "\n")+"\n")
+		return
+	}
+	c.JSON(http.StatusOK, b)
+}
+
+// words puts a status into sentences.
+func words(b *statusBody, v *node.ServiceView) []string {
+	var out []string
+	if v == nil {
+		out = append(out, fmt.Sprintf("No document of service %s is in force.", b.Service))
+	} else {
+		line := fmt.Sprintf("Revision %d of service %s is in force at %s. It was written by team %s", b.Revision, b.Service, b.Daemon, v.Author.Team)
+		if v.Author.Operator != "" {
+			line += " (" + v.Author.Operator + ")"
+		}
+		out = append(out, line+" at "+v.Author.At.UTC().Format(time.RFC3339)+".")
+		out = append(out, fmt.Sprintf("Version %s serves.", b.Serving))
+		if b.Next != "" {
+			out = append(out, fmt.Sprintf("Version %s is to take over by %s and gets %.1f%% of new requests here.",
+				b.Next, v.Doc.Versions.Deadline.UTC().Format(time.RFC3339), 100*b.Shares[b.Next]))
+		}
+	}
+	if r := b.Rejected; r != nil {
+		out = append(out, fmt.Sprintf("Revision %d has mistakes and takes no effect:", r.Revision))
+		for _, p := range r.Problems {
+			out = append(out, "  "+p.String())
+		}
+	}
+	var behind []string
+	for _, d := range b.Daemons {
+		if !d.InForce {
+			behind = append(behind, d.Name)
+		}
+	}
+	switch {
+	case b.Revision == 0:
+	case len(behind) == 0:
+		out = append(out, fmt.Sprintf("The revision is in force at all %d live daemons.", max(1, len(b.Daemons))))
+	default:
+		out = append(out, fmt.Sprintf("The revision is not yet confirmed at %d of %d live daemons: %s.",
+			len(behind), len(b.Daemons), strings.Join(behind, ", ")))
+	}
+	for _, u := range b.Upstreams {
+		if u.State != node.UpstreamAlive.String() {
+			out = append(out, fmt.Sprintf("Upstream %s (version %s, %s) is %s.", u.Name, u.Version, u.DataCentre, u.State))
+		}
+	}
+	if !b.StoreReachable {
+		out = append(out, "This daemon cannot reach the key-value service; changes arrive from peers only.")
+	}
+	return out
+}
--- /dev/null
+++ b/revision/revision.go
@@ -0,0 +1,167 @@
+package revision
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"sort"
+	"strings"
+
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+// Record is one revision of one service.
+type Record struct {
+	Service  string
+	Revision uint64
+	// Raw is the stored value as read, for passing on to peers.
+	Raw      []byte
+	Envelope Envelope
+	// Doc is nil for a tombstone and for a document with problems.
+	Doc      *document.Service
+	Problems document.Problems
+}
+
+// Accepted reports whether the record may be in force: a document without
+// problems, or a tombstone.
+func (r *Record) Accepted() bool { return len(r.Problems) == 0 }
+
+// Deleted reports whether the record is a tombstone.
+func (r *Record) Deleted() bool { return r.Accepted() && r.Envelope.Deleted }
+
+// state is what is known of one service.
+type state struct {
+	// inForce is the accepted record with the highest revision, or nil.
+	inForce *Record
+	// rejected is a record with problems and a revision above the one in
+	// force, or nil.
+	rejected *Record
+}
+
+// Set holds the documents of all services.
+type Set struct {
+	services map[string]*state
+	hash     uint64
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{services: map[string]*state{}} }
+
+// Outcome tells what an offered entry changed.
+type Outcome int
+
+const (
+	// Ignored entries were known, older than the one in force, or not below
+	// Prefix.
+	Ignored Outcome = iota
+	// InForce entries are now the revision in force of their service.
+	InForce
+	// Rejected entries have problems and took no effect.
+	Rejected
+)
+
+// Offer takes a store entry. An entry whose revision is not above the one in
+// force is ignored, whatever its path here was. The highest accepted revision
+// wins, so that daemons that saw a bad revision in different orders agree.
+func (s *Set) Offer(e store.Entry) (Outcome, *Record) {
+	name, ok := strings.CutPrefix(e.Key, Prefix)
+	if !ok || name == "" || e.Index == 0 {
+		return Ignored, nil
+	}
+	st := s.services[name]
+	if st == nil {
+		st = &state{}
+	}
+	if st.inForce != nil && e.Index <= st.inForce.Revision {
+		return Ignored, nil
+	}
+	if st.rejected != nil && e.Index == st.rejected.Revision {
+		return Ignored, nil
+	}
+	r := parse(name, e)
+	if !r.Accepted() {
+		if st.rejected != nil && e.Index < st.rejected.Revision {
+			return Ignored, nil
+		}
+		st.rejected = r
+		s.services[name] = st
+		return Rejected, r
+	}
+	s.hash ^= entryHash(st.inForce) ^ entryHash(r)
+	st.inForce = r
+	if st.rejected != nil && st.rejected.Revision < r.Revision {
+		st.rejected = nil
+	}
+	s.services[name] = st
+	return InForce, r
+}
+
+func parse(name string, e store.Entry) *Record {
+	r := &Record{Service: name, Revision: e.Index, Raw: e.Value}
+	env, err := Decode(e.Value)
+	if err != nil {
+		r.Problems = document.Problems{{File: e.Key, Section: "-", Key: "-", Message: err.Error()}}
+		return r
+	}
+	r.Envelope = env
+	if env.Deleted {
+		return r
+	}
+	r.Doc, r.Problems = document.Parse(e.Key, []byte(env.Document))
+	if r.Doc != nil && r.Doc.Name != name {
+		r.Problems = document.Problems{{File: e.Key, Section: "service", Key: "name",
+			Message: "must be " + name + ", the name that the document is stored under"}}
+		r.Doc = nil
+	}
+	return r
+}
+
+// InForce returns the record in force of a service, which may be a tombstone,
+// or nil.
+func (s *Set) InForce(service string) *Record {
+	if st := s.services[service]; st != nil {
+		return st.inForce
+	}
+	return nil
+}
+
+// RevisionOf returns the revision in force of a service, 0 when there is none.
+func (s *Set) RevisionOf(service string) uint64 {
+	if r := s.InForce(service); r != nil {
+		return r.Revision
+	}
+	return 0
+}
+
+// RejectedOf returns a record above the one in force that has problems, or
+// nil.
+func (s *Set) RejectedOf(service string) *Record {
+	if st := s.services[service]; st != nil {
+		return st.rejected
+	}
+	return nil
+}
+
+// Names returns all services known, deleted ones included, in order.
+func (s *Set) Names() []string {
+	names := make([]string, 0, len(s.services))
+	for n := range s.services {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Hash identifies the revisions in force of all services. Equal sets have
+// equal hashes whatever the order in which their entries arrived.
+func (s *Set) Hash() uint64 { return s.hash }
+
+func entryHash(r *Record) uint64 {
+	if r == nil {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(r.Service))
+	h.Write(binary.BigEndian.AppendUint64([]byte{0}, r.Revision))
+	return h.Sum64()
+}
