Add claims, the front end of plain services and refusals

Non-idempotent calls (tag registrations, shop orders) must run at most once although daemons, upstreams and the store fail, and although callers send them again. Leases and take-over after a time were ruled out: the holder may only be paused and would run after its successor. A record in state claimed is therefore changed by its holder alone.

net/http.Transport repeats a request by itself when a reused connection breaks and the header holds an idempotency key; the handler prevents it. Paths that an upstream could resolve differently are refused, because a route that may be repeated could lead to one that must not.

--- /dev/null
+++ b/plain/handler.go
@@ -0,0 +1,484 @@
+// Package plain is the front end of plain HTTP services. It authenticates the
+// account, finds the route, and forwards the call. Idempotent calls are tried
+// again on other upstreams; all others go through a claim and run at most once.
+package plain
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"path"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/gooseberryroad/gooseberryroad/claim"
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/refusal"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+// Prefix is the path below which services are mounted.
+const Prefix = "/services/"
+
+// Headers that callers use.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderTimeout        = "X-Request-Timeout-Ms"
+	// HeaderReplayed is set to "true" on a recorded outcome.
+	HeaderReplayed = "Idempotency-Replayed"
+)
+
+// Codes of refusals that do not come from a claim.
+const (
+	codeUnknownService = "unknown_service"
+	codeUnknownRoute   = "unknown_route"
+	codeBadPath        = "bad_path"
+	codeBadHeader      = "bad_header"
+	codeBadKey         = "invalid_api_key"
+	codeTooLarge       = "body_too_large"
+	codeBodyLost       = "body_incomplete"
+	codeOverloaded     = "overloaded"
+	codeDraining       = "draining"
+	codeNoUpstream     = "no_upstream"
+)
+
+// maxKeyBytes bounds an idempotency key, as published drafts of the header do.
+const maxKeyBytes = 255
+
+// Clock is the source of time.
+type Clock interface {
+	Now() time.Time
+	// AfterFunc calls f in its own goroutine after d. The returned function
+	// stops the timer.
+	AfterFunc(d time.Duration, f func()) (stop func() bool)
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+func (systemClock) AfterFunc(d time.Duration, f func()) func() bool {
+	return time.AfterFunc(d, f).Stop
+}
+
+// Result tells what became of one attempt at an upstream.
+type Result struct {
+	Service, Route, Version, Upstream string
+	At                                time.Time
+	Duration                          time.Duration
+	// Status is 0 when no reply came.
+	Status int
+	// Unreachable is set when no byte was sent.
+	Unreachable bool
+	// Lost is set when bytes were sent and no whole reply came back.
+	Lost bool
+}
+
+// Options configure a Handler.
+type Options struct {
+	// Snapshot returns the current control state; it is never nil.
+	Snapshot func() *node.Snapshot
+	Store    store.Store
+	// Transport sends calls to upstreams. It must not follow redirects.
+	Transport http.RoundTripper
+	Clock     Clock
+	// Seed seeds the choice of upstreams, pauses and nonces' fallback.
+	Seed uint64
+	// Nonce returns 128 random bits or more as text.
+	Nonce  func() string
+	Daemon string
+	Logger *slog.Logger
+	// OnResult is called after each attempt at an upstream. It must not block.
+	OnResult func(Result)
+	// BodyLimit bounds a call's body in bytes, besides the document's limit.
+	BodyLimit int64
+	// ReplyBuffer bounds the part of a reply that is held, in bytes; a longer
+	// reply is passed on as it arrives. The default is 64 KiB.
+	ReplyBuffer int
+	// MaxBuffered bounds the bytes of bodies and replies held for all calls
+	// together. The default is 64 MiB.
+	MaxBuffered int64
+	// MaxAttempts bounds the attempts of an idempotent call. The default is 3.
+	MaxAttempts int
+	// StoreTimeout bounds one store call. The default is 500 ms.
+	StoreTimeout time.Duration
+	Claim        claim.Options
+	Releases     claim.ReleaseOptions
+	Tracer       trace.TracerProvider
+	Metrics      *metrics.Set
+}
+
+// Handler serves calls below Prefix.
+type Handler struct {
+	o       Options
+	tracer  trace.Tracer
+	held    atomic.Int64
+	mu      sync.Mutex // guards rnd
+	rnd     *rand.Rand
+	settler settler
+}
+
+// New returns a handler. It panics when Snapshot, Store, Transport or Nonce is
+// missing, which is a programming error.
+func New(o Options) *Handler {
+	if o.Snapshot == nil || o.Store == nil || o.Transport == nil || o.Nonce == nil {
+		panic("plain: Snapshot, Store, Transport and Nonce are required")
+	}
+	if o.Clock == nil {
+		o.Clock = systemClock{}
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	o.Logger = o.Logger.With("part", "plain")
+	if o.OnResult == nil {
+		o.OnResult = func(Result) {}
+	}
+	if o.BodyLimit <= 0 {
+		o.BodyLimit = document.DefaultMaxBodyBytes
+	}
+	if o.ReplyBuffer <= 0 {
+		o.ReplyBuffer = document.DefaultMaxHeldBytes
+	}
+	if o.MaxBuffered <= 0 {
+		o.MaxBuffered = 64 << 20
+	}
+	if o.MaxAttempts <= 0 {
+		o.MaxAttempts = 3
+	}
+	if o.StoreTimeout <= 0 {
+		o.StoreTimeout = 500 * time.Millisecond
+	}
+	if o.Tracer == nil {
+		o.Tracer = otel.GetTracerProvider()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.GetDefaultSet()
+	}
+	h := &Handler{
+		o:      o,
+		tracer: o.Tracer.Tracer("gooseberryroad/plain"),
+		rnd:    rand.New(rand.NewPCG(o.Seed, 0x706c61696e)),
+	}
+	h.settler.init(h)
+	return h
+}
+
+// Drain waits until the outcomes of all answered calls are recorded, the
+// pending releases are written, or ctx is done. The HTTP server must have
+// finished its calls before.
+func (h *Handler) Drain(ctx context.Context) error { return h.settler.drain(ctx) }
+
+// call is one call of a caller.
+type call struct {
+	view     *node.ServiceView
+	account  *document.Account
+	route    *document.Route
+	method   string
+	path     string // escaped, below the service, with the query
+	header   http.Header
+	body     []byte
+	id       string
+	deadline time.Time
+}
+
+// ServeHTTP handles one call.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := h.o.Clock.Now()
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.tracer.Start(ctx, "plain.call", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	if id := r.Header.Get(HeaderRequestID); id != "" && len(id) <= maxKeyBytes {
+		w.Header().Set(HeaderRequestID, id)
+	} else {
+		w.Header().Set(HeaderRequestID, h.o.Nonce())
+	}
+	c, ref := h.admit(r, start)
+	if ref == nil {
+		c.id = w.Header().Get(HeaderRequestID)
+		span.SetAttributes(attribute.String("service", c.view.Doc.Name), attribute.String("route", c.route.Name),
+			attribute.String("account", c.account.Name), attribute.Bool("idempotent", c.route.Idempotent))
+		// A recorder in a test has no deadlines; a server's connection has. The
+		// second leaves time to write a refusal at the call's deadline.
+		rc := http.NewResponseController(w)
+		left := c.deadline.Sub(start)
+		_ = rc.SetReadDeadline(time.Now().Add(left))
+		_ = rc.SetWriteDeadline(time.Now().Add(left + time.Second))
+		var release func()
+		c.body, release, ref = h.readBody(r, c)
+		defer release()
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+	if ref != nil {
+		h.refuse(w, span, c, *ref)
+		return
+	}
+	if c.route.Idempotent {
+		h.repeatable(ctx, w, span, c)
+	} else {
+		h.once(ctx, w, span, c)
+	}
+	h.o.Metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryroad_plain_seconds{service=%q}`, c.view.Doc.Name)).
+		Update(h.o.Clock.Now().Sub(start).Seconds())
+}
+
+// admit finds the service, account and route of a call. Nothing has run when
+// it refuses.
+func (h *Handler) admit(r *http.Request, now time.Time) (*call, *refusal.Refusal) {
+	no := func(status int, code, message string, after time.Duration) (*call, *refusal.Refusal) {
+		return nil, &refusal.Refusal{Status: status, Code: code, Message: message, Outcome: refusal.NotRun, RetryAfter: after}
+	}
+	escaped := r.URL.EscapedPath()
+	rest, ok := strings.CutPrefix(escaped, Prefix)
+	name, below, _ := strings.Cut(rest, "/")
+	snap := h.o.Snapshot()
+	if snap.Draining {
+		return no(http.StatusServiceUnavailable, codeDraining, "this daemon is shutting down", time.Second)
+	}
+	view := snap.Services[name]
+	if !ok || view == nil || view.Doc == nil || view.Doc.Kind != document.KindPlain {
+		return no(http.StatusNotFound, codeUnknownService, fmt.Sprintf("there is no plain service %q", name), 0)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	account := view.Doc.AccountFor(strings.TrimSpace(key))
+	if !ok || account == nil {
+		return no(http.StatusUnauthorized, codeBadKey, "the bearer key is missing or belongs to no account of the service", 0)
+	}
+	below = "/" + below
+	if !cleanPath(below) {
+		// An upstream that resolves such a path itself could reach another
+		// route than the one found here, and a route that must not be repeated.
+		return no(http.StatusBadRequest, codeBadPath, "the path may hold no empty or dot segments, backslashes, or escaped slashes, dots or controls", 0)
+	}
+	decoded, err := url.PathUnescape(below)
+	if err != nil {
+		return no(http.StatusBadRequest, codeBadPath, "the path has a malformed escape", 0)
+	}
+	route := view.Doc.RouteFor(r.Method, decoded)
+	if route == nil {
+		return no(http.StatusNotFound, codeUnknownRoute, fmt.Sprintf("service %s has no route for %s %s", name, r.Method, decoded), 0)
+	}
+	c := &call{view: view, account: account, route: route, method: r.Method, path: below, header: r.Header}
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	timeout := route.Timeout
+	if v := r.Header.Get(HeaderTimeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 32)
+		if err != nil || ms <= 0 {
+			return no(http.StatusBadRequest, codeBadHeader, HeaderTimeout+" must be a whole number of milliseconds above 0", 0)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	if keys := r.Header.Values(HeaderIdempotencyKey); len(keys) > 1 || len(keys) == 1 && len(keys[0]) > maxKeyBytes {
+		return no(http.StatusBadRequest, codeBadHeader, fmt.Sprintf("%s must be given once, with at most %d bytes", HeaderIdempotencyKey, maxKeyBytes), 0)
+	}
+	c.deadline = now.Add(timeout)
+	return c, nil
+}
+
+// cleanPath tells whether every server resolves the escaped path alike.
+func cleanPath(p string) bool {
+	if strings.Contains(p, "\\") || strings.Contains(p, "//") {
+		return false
+	}
+	trimmed := p
+	if len(p) > 1 {
+		trimmed = strings.TrimSuffix(p, "/")
+	}
+	if path.Clean(p) != trimmed {
+		return false
+	}
+	low := strings.ToLower(p)
+	for _, bad := range []string{"%2f", "%2e", "%5c", "%25", "%3b", "%3f", "%23"} {
+		if strings.Contains(low, bad) {
+			return false
+		}
+	}
+	for i := 0; i+2 < len(low); i++ {
+		if low[i] == '%' && (low[i+1] == '0' || low[i+1] == '1' || low[i+1:i+3] == "7f") {
+			return false
+		}
+	}
+	return true
+}
+
+// hold reserves n bytes of the handler's memory.
+func (h *Handler) hold(n int64) bool {
+	if h.held.Add(n) > h.o.MaxBuffered {
+		h.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (h *Handler) readBody(r *http.Request, c *call) ([]byte, func(), *refusal.Refusal) {
+	limit := min(h.o.BodyLimit, c.view.Doc.Limits.MaxBodyBytes)
+	if limit <= 0 {
+		limit = h.o.BodyLimit
+	}
+	no := func(status int, code, message string, after time.Duration) ([]byte, func(), *refusal.Refusal) {
+		return nil, func() {}, &refusal.Refusal{Status: status, Code: code, Message: message, Outcome: refusal.NotRun, RetryAfter: after}
+	}
+	tooLarge := fmt.Sprintf("the body may have at most %d bytes", limit)
+	if r.ContentLength > limit {
+		return no(http.StatusRequestEntityTooLarge, codeTooLarge, tooLarge, 0)
+	}
+	// A body of unknown length is counted with the limit until it is read.
+	n := r.ContentLength
+	if n < 0 {
+		n = limit
+	}
+	n += int64(h.o.ReplyBuffer)
+	if !h.hold(n) {
+		return no(http.StatusServiceUnavailable, codeOverloaded, "this daemon holds as many calls as its memory allows", time.Second)
+	}
+	release := func() { h.held.Add(-n) }
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err == nil && int64(len(body)) <= limit {
+		return body, release, nil
+	}
+	release()
+	if err != nil {
+		return no(http.StatusBadRequest, codeBodyLost, "the body did not arrive in full", 0)
+	}
+	return no(http.StatusRequestEntityTooLarge, codeTooLarge, tooLarge, 0)
+}
+
+// refuse sends a refusal and counts it. The call is nil if it was not admitted.
+func (h *Handler) refuse(w http.ResponseWriter, span trace.Span, c *call, ref refusal.Refusal) {
+	service := ""
+	if c != nil {
+		service = c.view.Doc.Name
+	}
+	span.SetAttributes(attribute.String("code", ref.Code), attribute.String("outcome", string(ref.Outcome)))
+	h.o.Metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberryroad_plain_refusals_total{service=%q,code=%q,outcome=%q}`,
+		service, ref.Code, ref.Outcome)).Inc()
+	ref.Write(w)
+}
+
+// withDeadline is context.WithDeadline on the handler's clock.
+func (h *Handler) withDeadline(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := h.o.Clock.AfterFunc(at.Sub(h.o.Clock.Now()), func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
+// wait returns after d, or earlier with false when ctx is done.
+func (h *Handler) wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	done := make(chan struct{})
+	stop := h.o.Clock.AfterFunc(d, func() { close(done) })
+	defer stop()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// random returns a number in [0, 1).
+func (h *Handler) random() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rnd.Float64()
+}
+
+// pick chooses an upstream that has not been tried: a version by its share,
+// then a random upstream of it. Silent upstreams are the last resort; leaving
+// and dead ones get no call.
+func (h *Handler) pick(c *call, tried map[string]bool) *node.UpstreamView {
+	view := h.currentView(c)
+	for _, states := range [][]node.UpstreamState{
+		{node.UpstreamAlive, node.UpstreamUnknown}, {node.UpstreamSilent},
+	} {
+		byVersion := map[string][]*node.UpstreamView{}
+		var versions []string
+		total := 0.0
+		for i := range view.Upstreams {
+			u := &view.Upstreams[i]
+			if tried[u.Name] || u.Leaving || !contains(states, u.State) || !replicaAllowed(view, u) {
+				continue
+			}
+			share := share(view, u.Version)
+			if share <= 0 {
+				continue
+			}
+			if byVersion[u.Version] == nil {
+				versions = append(versions, u.Version)
+				total += share
+			}
+			byVersion[u.Version] = append(byVersion[u.Version], u)
+		}
+		if len(versions) == 0 {
+			continue
+		}
+		at := h.random() * total
+		version := versions[len(versions)-1]
+		for _, v := range versions {
+			if at -= share(view, v); at < 0 {
+				version = v
+				break
+			}
+		}
+		us := byVersion[version]
+		return us[int(h.random()*float64(len(us)))]
+	}
+	return nil
+}
+
+// currentView returns the newest view of the call's service, so that a retry
+// sees upstreams that left since.
+func (h *Handler) currentView(c *call) *node.ServiceView {
+	if v := h.o.Snapshot().Services[c.view.Doc.Name]; v != nil && v.Doc != nil {
+		return v
+	}
+	return c.view
+}
+
+func share(view *node.ServiceView, version string) float64 {
+	if len(view.Shares) == 0 {
+		if version == view.Doc.Versions.Serving {
+			return 1
+		}
+		return 0
+	}
+	return view.Shares[version]
+}
+
+func replicaAllowed(view *node.ServiceView, u *node.UpstreamView) bool {
+	names, limited := view.Replicas[u.Version]
+	return !limited || contains(names, u.Name)
+}
+
+func contains[T comparable](list []T, v T) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return false
+}
+
+var errNoUpstream = errors.New("no upstream of the service can take the call")
--- /dev/null
+++ b/plain/plain_test.go
@@ -0,0 +1,585 @@
+package plain_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/claim"
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/plain"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+func TestPlain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "plain")
+}
+
+// memStore is an in-memory store. A fault hook may replace the result of a
+// call; applied tells whether the write took effect.
+type memStore struct {
+	mu      sync.Mutex
+	entries map[string]store.Entry
+	index   uint64
+	calls   int
+	fault   func(op string, n int) (err error, applied bool)
+}
+
+func newMemStore() *memStore { return &memStore{entries: map[string]store.Entry{}} }
+
+func (s *memStore) hook(op string) (error, bool) {
+	s.calls++
+	if s.fault == nil {
+		return nil, true
+	}
+	return s.fault(op, s.calls)
+}
+
+func (s *memStore) Get(_ context.Context, key string) (store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err, _ := s.hook("get"); err != nil {
+		return store.Entry{}, err
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return e, nil
+}
+
+func (s *memStore) List(_ context.Context, prefix string, _ uint64, _ time.Duration) ([]store.Entry, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []store.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, s.index, nil
+}
+
+func (s *memStore) CompareAndSwap(_ context.Context, key string, value []byte, index uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err, applied := s.hook("cas")
+	if applied {
+		if s.entries[key].Index != index {
+			if err == nil {
+				err = store.ErrConflict
+			}
+			return 0, err
+		}
+		s.index++
+		s.entries[key] = store.Entry{Key: key, Value: value, Index: s.index}
+	}
+	if err != nil {
+		return 0, err
+	}
+	return s.index, nil
+}
+
+func (s *memStore) Txn(_ context.Context, ops []store.Op) ([]store.OpResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err, applied := s.hook("txn")
+	res := make([]store.OpResult, len(ops))
+	if !applied {
+		return nil, err
+	}
+	conflict := false
+	for i, op := range ops {
+		if s.entries[op.Key].Index != op.Index {
+			res[i].Conflict, conflict = true, true
+		}
+	}
+	if conflict && err == nil {
+		return res, store.ErrConflict
+	}
+	if !conflict {
+		for i, op := range ops {
+			s.index++
+			res[i].Index = s.index
+			s.entries[op.Key] = store.Entry{Key: op.Key, Value: op.Value, Index: s.index}
+		}
+	}
+	return res, err
+}
+
+// fixture is a handler behind a real server, in front of real upstreams.
+type fixture struct {
+	store     *memStore
+	snap      atomic.Pointer[node.Snapshot]
+	handler   *plain.Handler
+	server    *httptest.Server
+	transport *http.Transport
+	mu        sync.Mutex
+	results   []plain.Result
+}
+
+const document1 = `
+[service]
+name = shop
+team = bertolasi
+kind = plain
+[versions]
+serving = v1
+[route.order]
+path = /orders
+methods = POST
+timeout = 2s
+[route.touch]
+path = /touch
+methods = GET
+timeout = 2s
+[route.catalogue]
+path = /catalogue/*
+idempotent = true
+timeout = 2s
+[account.apiary]
+key_sha256 = KEY
+[limits]
+max_body_bytes = 2048
+`
+
+func newFixture(change func(*plain.Options), upstreams ...string) *fixture {
+	f := &fixture{store: newMemStore(), transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	doc, problems := document.Parse("shop", []byte(strings.ReplaceAll(document1, "KEY", document.HashKey("secret"))))
+	Expect(problems).To(BeEmpty())
+	view := &node.ServiceView{Doc: doc, Shares: map[string]float64{"v1": 1}}
+	for i, address := range upstreams {
+		u := document.Upstream{Name: fmt.Sprintf("u%d", i), Address: address, Version: "v1", DataCentre: "dc1"}
+		view.Upstreams = append(view.Upstreams, node.UpstreamView{Upstream: u, State: node.UpstreamAlive})
+	}
+	f.snap.Store(&node.Snapshot{Services: map[string]*node.ServiceView{"shop": view}, StoreReachable: true})
+	var nonce atomic.Int64
+	o := plain.Options{
+		Snapshot: f.snap.Load, Store: f.store, Transport: f.transport, Seed: 1, Daemon: "d1",
+		Nonce:   func() string { return fmt.Sprintf("nonce-%d", nonce.Add(1)) },
+		Metrics: metrics.NewSet(),
+		OnResult: func(r plain.Result) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.results = append(f.results, r)
+		},
+	}
+	if change != nil {
+		change(&o)
+	}
+	f.handler = plain.New(o)
+	f.server = httptest.NewServer(f.handler)
+	DeferCleanup(func() {
+		f.server.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(f.handler.Drain(ctx)).To(Succeed())
+		f.transport.CloseIdleConnections()
+	})
+	return f
+}
+
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	code    string
+	outcome string
+}
+
+func (f *fixture) call(method, path, body string, header ...string) (answer, error) {
+	req, err := http.NewRequest(method, f.server.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(b)}
+	var e struct {
+		Error struct{ Code, Outcome string }
+	}
+	if json.Unmarshal(b, &e) == nil {
+		a.code, a.outcome = e.Error.Code, e.Error.Outcome
+	}
+	return a, err
+}
+
+func (f *fixture) must(method, path, body string, header ...string) answer {
+	GinkgoHelper()
+	a, err := f.call(method, path, body, header...)
+	Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
+// upstream serves h and counts the requests that reach it.
+func upstream(h http.HandlerFunc) (address string, count *atomic.Int64) {
+	count = &atomic.Int64{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		h(w, r)
+	}))
+	DeferCleanup(s.Close)
+	return s.Listener.Addr().String(), count
+}
+
+// refusing returns an address where nothing listens.
+func refusing() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func created(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	w.Header().Set("X-Order", "17")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "ordered %s", b)
+}
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+var _ = Describe("a non-idempotent route", func() {
+	// Guards P6: the second call must not reach the upstream.
+	It("runs once per key and replays the outcome", func() {
+		address, count := upstream(created)
+		f := newFixture(nil, address)
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(201))
+		Expect(a.body).To(Equal("ordered honey"))
+		Eventually(func() string {
+			a = f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+			return a.header.Get(plain.HeaderReplayed)
+		}).Should(Equal("true"))
+		Expect(a.status).To(Equal(201))
+		Expect(a.body).To(Equal("ordered honey"))
+		Expect(a.header.Get("X-Order")).To(Equal("17"))
+		Expect(count.Load()).To(Equal(int64(1)))
+
+		a = f.must("POST", "/services/shop/orders", "wax", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(422))
+		Expect(a.outcome).To(Equal("not_run"))
+		a = f.must("POST", "/services/shop/orders", "wax")
+		Expect(a.status).To(Equal(400))
+		Expect(a.outcome).To(Equal("not_run"))
+		Expect(a.body).To(ContainSubstring(plain.HeaderIdempotencyKey))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards P6 against concurrent calls with one key.
+	It("runs once when the same key arrives many times at once", func() {
+		address, count := upstream(created)
+		f := newFixture(nil, address)
+		var wg sync.WaitGroup
+		statuses := make([]int, 20)
+		for i := range statuses {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				statuses[i] = f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1").status
+			}()
+		}
+		wg.Wait()
+		Expect(statuses).To(HaveEach(201))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards P6: a reply that is lost must neither be retried on another
+	// upstream nor run again for a repeat.
+	It("says may_have_run when the reply is lost and never runs again", func() {
+		a1, c1 := upstream(cut)
+		a2, c2 := upstream(cut)
+		f := newFixture(nil, a1, a2)
+		for range 2 {
+			a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1", "X-Request-Timeout-Ms", "300")
+			Expect(a.outcome).To(Equal("may_have_run"))
+		}
+		Expect(c1.Load() + c2.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards P6 against net/http.Transport, which repeats a request on its own
+	// when a reused connection breaks and the header holds an idempotency key.
+	DescribeTable("is not repeated by the transport on a broken reused connection", func(method, path, body string) {
+		var breaking atomic.Bool
+		address, count := upstream(func(w http.ResponseWriter, r *http.Request) {
+			if breaking.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			created(w, r)
+		})
+		f := newFixture(nil, address)
+		Expect(f.must(method, path, body, "Idempotency-Key", "k1").status).To(Equal(201))
+		breaking.Store(true)
+		a := f.must(method, path, body, "Idempotency-Key", "k2")
+		Expect(a.outcome).To(Equal("may_have_run"))
+		Expect(count.Load()).To(Equal(int64(2)), "one for each key")
+	},
+		Entry("POST with a body", "POST", "/services/shop/orders", "honey"),
+		Entry("POST without a body", "POST", "/services/shop/orders", ""),
+		Entry("GET", "GET", "/services/shop/touch", ""),
+	)
+
+	// Guards P5 and the release: not_run must be true, and the key must stay
+	// usable.
+	It("releases the claim when no upstream can be reached", func() {
+		f := newFixture(nil, refusing(), refusing())
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(503))
+		Expect(a.code).To(Equal(claim.CodeUpstreamUnreachable))
+		Expect(a.outcome).To(Equal("not_run"))
+		address, count := upstream(created)
+		snap := *f.snap.Load()
+		view := *snap.Services["shop"]
+		view.Upstreams = []node.UpstreamView{{Upstream: document.Upstream{Name: "u9", Address: address, Version: "v1"}}}
+		snap.Services = map[string]*node.ServiceView{"shop": &view}
+		f.snap.Store(&snap)
+		Expect(f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1").status).To(Equal(201))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+
+	It("goes on to another upstream while no byte was sent", func() {
+		address, count := upstream(created)
+		f := newFixture(nil, refusing(), refusing(), address)
+		Expect(f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1").status).To(Equal(201))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards P5 while the store is out of reach.
+	It("is refused at once with not_run when the store is out of reach", func() {
+		address, count := upstream(created)
+		f := newFixture(nil, address)
+		f.store.fault = func(string, int) (error, bool) { return store.ErrUnavailable, false }
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(503))
+		Expect(a.outcome).To(Equal("not_run"))
+		Expect(count.Load()).To(BeZero())
+	})
+
+	// Guards against a call that runs, or is refused, on a lost store answer.
+	DescribeTable("reads back when the answer to the claim is lost", func(applied bool) {
+		address, count := upstream(created)
+		f := newFixture(nil, address)
+		f.store.fault = func(op string, n int) (error, bool) {
+			if n == 1 {
+				return store.ErrUnknown, applied
+			}
+			return nil, true
+		}
+		Expect(f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1").status).To(Equal(201))
+		Expect(count.Load()).To(Equal(int64(1)))
+	}, Entry("and the write took effect", true), Entry("and it did not", false))
+
+	// Guards against an outcome that is lost with its caller.
+	It("records the outcome of a call whose caller has gone", func() {
+		entered, leave := make(chan struct{}), make(chan struct{})
+		address, count := upstream(func(w http.ResponseWriter, r *http.Request) {
+			close(entered)
+			<-leave
+			created(w, r)
+		})
+		f := newFixture(nil, address)
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, "POST", f.server.URL+"/services/shop/orders", strings.NewReader("honey"))
+		req.Header.Set("Authorization", "Bearer secret")
+		req.Header.Set("Idempotency-Key", "k1")
+		failed := make(chan error)
+		go func() {
+			_, err := http.DefaultClient.Do(req)
+			failed <- err
+		}()
+		<-entered
+		cancel()
+		Expect(<-failed).To(HaveOccurred())
+		close(leave)
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(201))
+		Expect(a.header.Get(plain.HeaderReplayed)).To(Equal("true"))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against a cut or empty body that passes for the upstream's reply.
+	It("says that a large reply was not stored", func() {
+		large := strings.Repeat("x", 300<<10)
+		address, count := upstream(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, large) })
+		f := newFixture(nil, address)
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.body == large).To(BeTrue())
+		a = f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(ContainSubstring(`"body_stored":false,"body_bytes":307200`))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against a reply that ends early and looks whole.
+	It("cuts the caller's connection when a large reply breaks off", func() {
+		address, count := upstream(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", 300<<10))
+			panic(http.ErrAbortHandler)
+		})
+		f := newFixture(nil, address)
+		_, err := f.call("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(err).To(HaveOccurred())
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1", "X-Request-Timeout-Ms", "200")
+		Expect(a.outcome).To(Equal("may_have_run"))
+		Expect(count.Load()).To(Equal(int64(1)))
+	})
+})
+
+var _ = Describe("an idempotent route", func() {
+	// Guards against a single failed upstream that callers see.
+	It("is tried on another upstream after a lost reply", func() {
+		a1, c1 := upstream(cut)
+		a2, c2 := upstream(created)
+		f := newFixture(nil, a1, a2)
+		for range 8 {
+			Expect(f.must("GET", "/services/shop/catalogue/1", "").status).To(Equal(201))
+		}
+		Expect(c1.Load()).To(BeNumerically(">", 0))
+		Expect(c2.Load()).To(Equal(int64(8)))
+	})
+
+	// Guards against retries that add to the load of a service that sheds it.
+	DescribeTable("asks a second upstream at most once after 429 or 503", func(status int) {
+		var addresses []string
+		var total []*atomic.Int64
+		for range 5 {
+			a, c := upstream(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(status) })
+			addresses, total = append(addresses, a), append(total, c)
+		}
+		f := newFixture(func(o *plain.Options) { o.MaxAttempts = 5 }, addresses...)
+		Expect(f.must("GET", "/services/shop/catalogue/1", "").status).To(Equal(status))
+		sum := int64(0)
+		for _, c := range total {
+			sum += c.Load()
+		}
+		Expect(sum).To(Equal(int64(2)))
+	}, Entry("429", 429), Entry("503", 503))
+
+	DescribeTable("gives a truthful refusal when all attempts fail", func(reachable bool, outcome string) {
+		var a []string
+		for range 3 {
+			if reachable {
+				address, _ := upstream(cut)
+				a = append(a, address)
+			} else {
+				a = append(a, refusing())
+			}
+		}
+		f := newFixture(nil, a...)
+		r := f.must("GET", "/services/shop/catalogue/1", "")
+		Expect(r.status).To(BeNumerically(">=", 502))
+		Expect(r.outcome).To(Equal(outcome))
+		Expect(f.results).To(HaveLen(3))
+	}, Entry("nothing sent", false, "not_run"), Entry("replies lost", true, "may_have_run"))
+
+	// Guards the total deadline over all attempts.
+	It("ends at the deadline", func() {
+		stop := make(chan struct{})
+		address, _ := upstream(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-stop:
+			case <-r.Context().Done():
+			}
+		})
+		DeferCleanup(func() { close(stop) })
+		f := newFixture(nil, address)
+		a := f.must("GET", "/services/shop/catalogue/1", "", "X-Request-Timeout-Ms", "100")
+		Expect(a.status).To(Equal(504))
+		Expect(a.outcome).To(Equal("may_have_run"))
+	})
+})
+
+var _ = Describe("admission of a call", func() {
+	DescribeTable("refuses with a typed not_run", func(method, path, body string, status int, header ...string) {
+		address, count := upstream(created)
+		f := newFixture(func(o *plain.Options) { o.BodyLimit = 1024 }, address)
+		a := f.must(method, path, body, header...)
+		Expect(a.status).To(Equal(status), a.body)
+		Expect(a.outcome).To(Equal("not_run"))
+		Expect(a.code).NotTo(BeEmpty())
+		Expect(count.Load()).To(BeZero())
+	},
+		Entry("wrong key", "GET", "/services/shop/catalogue/1", "", 401, "Authorization", "Bearer no"),
+		Entry("no key", "GET", "/services/shop/catalogue/1", "", 401, "Authorization", ""),
+		Entry("unknown service", "GET", "/services/none/x", "", 404),
+		Entry("unknown route", "GET", "/services/shop/none", "", 404),
+		Entry("wrong method", "DELETE", "/services/shop/orders", "", 404),
+		// The catalogue is idempotent: an upstream that resolves these paths
+		// would see an order on a call that may be repeated.
+		Entry("escaped dot segments", "POST", "/services/shop/catalogue/%2e%2e/orders", "x", 400),
+		Entry("escaped slash", "POST", "/services/shop/catalogue/..%2forders", "x", 400),
+		Entry("empty segment", "POST", "/services/shop/catalogue//orders", "x", 400),
+		Entry("large body", "POST", "/services/shop/orders", strings.Repeat("x", 1025), 413, "Idempotency-Key", "k"),
+		Entry("bad timeout", "GET", "/services/shop/catalogue/1", "", 400, "X-Request-Timeout-Ms", "soon"),
+		Entry("long key", "POST", "/services/shop/orders", "x", 400, "Idempotency-Key", strings.Repeat("k", 256)),
+	)
+
+	It("refuses above the memory bound and gives the memory back", func() {
+		address, _ := upstream(created)
+		f := newFixture(func(o *plain.Options) { o.MaxBuffered, o.ReplyBuffer = 1500, 1000 }, address)
+		for range 3 {
+			Expect(f.must("POST", "/services/shop/orders", strings.Repeat("x", 600), "Idempotency-Key", "k").code).To(Equal("overloaded"))
+			Expect(f.must("GET", "/services/shop/catalogue/1", strings.Repeat("x", 400)).status).To(Equal(201))
+		}
+	})
+
+	It("refuses while the daemon drains", func() {
+		f := newFixture(nil)
+		snap := *f.snap.Load()
+		snap.Draining = true
+		f.snap.Store(&snap)
+		Expect(f.must("GET", "/services/shop/catalogue/1", "").code).To(Equal("draining"))
+	})
+})
+
+var _ = Describe("headers", func() {
+	// Guards against the account's key and the hop's headers at an upstream.
+	It("end at the hop", func() {
+		var got http.Header
+		address, _ := upstream(func(w http.ResponseWriter, r *http.Request) {
+			got = r.Header.Clone()
+			w.Header().Set("Connection", "X-Private")
+			w.Header().Set("X-Private", "1")
+			w.Header().Set("X-Public", "1")
+			created(w, r)
+		})
+		f := newFixture(nil, address)
+		a := f.must("POST", "/services/shop/orders?n=1", "honey", "Idempotency-Key", "k1", "Connection", "X-Hop",
+			"X-Hop", "1", "Te", "trailers", "X-End", "1", "X-Request-Id", "id-7")
+		Expect(a.status).To(Equal(201))
+		Expect(got).NotTo(HaveKey("Authorization"))
+		Expect(got).NotTo(HaveKey("X-Hop"))
+		Expect(got).NotTo(HaveKey("Te"))
+		Expect(got.Get("X-End")).To(Equal("1"))
+		Expect(got.Get("Idempotency-Key")).To(Equal("k1"))
+		Expect(got.Get("X-Account")).To(Equal("apiary"))
+		Expect(got.Get("X-Request-Id")).To(Equal("id-7"))
+		Expect(a.header).NotTo(HaveKey("X-Private"))
+		Expect(a.header.Get("X-Public")).To(Equal("1"))
+		Expect(a.header.Get("X-Request-Id")).To(Equal("id-7"))
+	})
+})
