--- /dev/null
+++ b/modules/engine/completions/completions_test.go
@@ -0,0 +1,416 @@
+package completions_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/kernel"
+	"github.com/gooseberryroad/gooseberryroad/modules/engine/completions"
+	"github.com/gooseberryroad/gooseberryroad/standin"
+)
+
+func TestCompletions(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "completions")
+}
+
+// limit ends specs whose stream stays silent.
+const limit = 20 * time.Second
+
+// read reads a stream to its end.
+func read(ctx context.Context, s engine.Stream) (text string, tokens []engine.Token, err error) {
+	var b strings.Builder
+	for {
+		t, err := s.Next(ctx)
+		if err != nil {
+			return b.String(), tokens, err
+		}
+		tokens = append(tokens, t)
+		b.WriteString(t.Text)
+	}
+}
+
+func finished(err error) string {
+	var f *engine.FinishedError
+	Expect(errors.As(err, &f)).To(BeTrue(), "%v", err)
+	return f.Reason
+}
+
+func refusal(err error) *engine.RefusedError {
+	var r *engine.RefusedError
+	Expect(errors.As(err, &r)).To(BeTrue(), "%v", err)
+	return r
+}
+
+var _ = Describe("Client", func() {
+	var (
+		ctx  context.Context
+		c    engine.Client
+		e    *standin.Engine
+		addr string
+		o    standin.EngineOptions
+	)
+	BeforeEach(func() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), limit)
+		DeferCleanup(cancel)
+		o = standin.EngineOptions{Step: time.Millisecond, LoadInterval: 5 * time.Millisecond, LoadLag: 5 * time.Millisecond}
+		var err error
+		c, err = kernel.Load[engine.Client](completions.ID, kernel.Options{})
+		Expect(err).NotTo(HaveOccurred())
+	})
+	JustBeforeEach(func() {
+		var err error
+		e, err = standin.StartEngine(ctx, o)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		addr = e.Address()
+	})
+	request := func(id string) engine.Request {
+		return engine.Request{ID: id, Model: "model", Version: "v1", Prompt: "write a dedication", MaxTokens: 40}
+	}
+	check := func(text string, tokens int) {
+		GinkgoHelper()
+		Expect(standin.CheckAnswer(text, standin.Answer{
+			Model: "model", Version: "v1", Prompt: "write a dedication", Tokens: tokens,
+		}).Err()).NotTo(HaveOccurred())
+	}
+
+	// Guards against tokens that get lost, repeated or misnumbered in the driver.
+	It("reads a whole answer with its indexes and finish reason", func() {
+		s, err := c.Start(ctx, addr, request("a"))
+		Expect(err).NotTo(HaveOccurred())
+		text, tokens, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishLength))
+		check(text, 40)
+		for i, t := range tokens {
+			Expect(t.Index).To(Equal(i))
+		}
+	})
+
+	// Guards against a lost reason of an answer that ends by itself.
+	It("tells stop from length", func() {
+		r := request("a")
+		r.Prompt = "write stop=3"
+		s, err := c.Start(ctx, addr, r)
+		Expect(err).NotTo(HaveOccurred())
+		_, tokens, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishStop))
+		Expect(tokens).To(HaveLen(3))
+	})
+
+	// Guards against chat requests that are sent as an empty prompt.
+	It("sends messages", func() {
+		r := request("a")
+		r.Prompt, r.Messages = "", []engine.Message{{Role: "user", Content: "hello"}}
+		s, err := c.Start(ctx, addr, r)
+		Expect(err).NotTo(HaveOccurred())
+		text, _, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishLength))
+		prompt := standin.PromptOf([]standin.Message{{Role: "user", Content: "hello"}})
+		Expect(standin.CheckAnswer(text, standin.Answer{Model: "model", Version: "v1", Prompt: prompt, Tokens: 40}).Err()).NotTo(HaveOccurred())
+	})
+
+	// Guards against a continuation that repeats or skips tokens (P1).
+	It("continues after a prefix", func() {
+		r := request("a")
+		r.Prefix, r.PrefixTokens = standin.NewText("model", "v1", r.Prompt).Prefix(15), 15
+		s, err := c.Start(ctx, addr, r)
+		Expect(err).NotTo(HaveOccurred())
+		text, tokens, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishLength))
+		Expect(tokens[0].Index).To(Equal(15))
+		check(r.Prefix+text, 40)
+		Expect(e.Stats().BadPrefixes).To(BeZero())
+	})
+
+	// Guards against work that is lost with a connection (P1): the resumed
+	// stream must go on at the token after the last one held.
+	It("resumes on a new connection while the old one is silent", func() {
+		r := request("a")
+		s, err := c.Start(ctx, addr, r)
+		Expect(err).NotTo(HaveOccurred())
+		var text string
+		for range 5 {
+			t, err := s.Next(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			text += t.Text
+		}
+		Expect(e.HangConnection("a")).To(Succeed())
+		resumed, err := c.Resume(ctx, addr, "a", 5)
+		Expect(err).NotTo(HaveOccurred())
+		rest, _, err := read(ctx, resumed)
+		Expect(finished(err)).To(Equal(engine.FinishLength))
+		check(text+rest, 40)
+		Expect(e.Stats().Generated).To(Equal(int64(40)))
+		Expect(s.Close()).To(Succeed())
+	})
+
+	// Guards against a Resume over a pooled connection: all open connections
+	// may be silent for good.
+	It("resumes, cancels and orders when all older connections are silent", func() {
+		_, err := c.Load(ctx, addr) // leaves a pooled connection
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Start(ctx, addr, request("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.HangOpenConnections()).To(BeNumerically(">=", 1))
+		s, err := c.Resume(ctx, addr, "a", 0)
+		Expect(err).NotTo(HaveOccurred())
+		text, _, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishLength))
+		check(text, 40)
+		Expect(c.Cancel(ctx, addr, "a")).To(Succeed())
+		Expect(c.Order(ctx, addr, engine.Order{Fence: 1, Model: "model", Version: "v1"})).To(Succeed())
+	})
+
+	// Guards against a silent pooled connection that hides a live engine from
+	// load reports for longer than one call.
+	It("reads load reports on a new connection after a silent one", func() {
+		c = completions.New(completions.Options{HeaderTimeout: 100 * time.Millisecond})
+		_, err := c.Load(ctx, addr)
+		Expect(err).NotTo(HaveOccurred())
+		e.HangOpenConnections()
+		_, err = c.Load(ctx, addr)
+		Expect(err).To(HaveOccurred())
+		l, err := c.Load(ctx, addr)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Version).To(Equal("v1"))
+	})
+
+	It("says that an unknown generation is unknown, and cancels it without an error", func() {
+		_, err := c.Resume(ctx, addr, "nothing", 0)
+		Expect(errors.Is(err, engine.ErrUnknownGeneration)).To(BeTrue(), "%v", err)
+		Expect(c.Cancel(ctx, addr, "nothing")).To(Succeed())
+	})
+
+	// Guards against generations that go on after they were cancelled.
+	It("cancels a running generation", func() {
+		r := request("a")
+		r.MaxTokens = 100000
+		s, err := c.Start(ctx, addr, r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Cancel(ctx, addr, "a")).To(Succeed())
+		_, _, err = read(ctx, s)
+		Expect(err).To(MatchError(ContainSubstring("cancelled")))
+		Expect(e.Stats().Running).To(BeZero())
+	})
+
+	// Guards against a refusal that says not_run wrongly, or that does not say
+	// it when nothing was sent (P5).
+	Describe("a request that was not taken", func() {
+		It("was not run when the address refuses", func() {
+			e.Stop()
+			_, err := c.Start(ctx, addr, request("a"))
+			Expect(refusal(err).NotRun).To(BeTrue())
+			_, err = c.Resume(ctx, addr, "a", 0)
+			Expect(refusal(err).NotRun).To(BeTrue())
+		})
+		It("was not run when the caller gave up while the connection was made", func() {
+			done, cancel := context.WithCancel(ctx)
+			cancel()
+			_, err := c.Start(done, addr, request("a"))
+			Expect(refusal(err).NotRun).To(BeTrue())
+			Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+		})
+		It("may have run when the connection breaks after it was sent", func() {
+			e.HangAcceptedConnections(1)
+			c = completions.New(completions.Options{HeaderTimeout: 100 * time.Millisecond})
+			_, err := c.Start(ctx, addr, request("a"))
+			Expect(err).To(HaveOccurred())
+			var r *engine.RefusedError
+			Expect(errors.As(err, &r)).To(BeFalse(), "%v", err)
+		})
+		It("was not run when the engine says so", func() {
+			e.SetFaults(standin.EngineFaults{Leaving: standin.LeavingRefuses})
+			_, err := c.Start(ctx, addr, request("a"))
+			r := refusal(err)
+			Expect(r.NotRun).To(BeTrue())
+			Expect(r.Status).To(Equal(http.StatusServiceUnavailable))
+			Expect(r.RetryAfter).To(Equal(time.Second))
+		})
+		It("was not run by an engine with another version", func() {
+			r := request("a")
+			r.Version = "v2"
+			_, err := c.Start(ctx, addr, r)
+			Expect(refusal(err).NotRun).To(BeTrue())
+		})
+		It("may have run when its ID is in use or the engine failed", func() {
+			_, err := c.Start(ctx, addr, request("a"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = c.Start(ctx, addr, request("a"))
+			Expect(refusal(err).NotRun).To(BeFalse())
+			e.SetFaults(standin.EngineFaults{BadVersions: map[string]standin.BadVersion{"v1": {Mode: standin.BadFails}}})
+			_, err = c.Start(ctx, addr, request("b"))
+			Expect(refusal(err).NotRun).To(BeFalse())
+		})
+	})
+
+	// Guards against an early end that is taken for a whole answer (P1).
+	DescribeTable("reports an answer that is cut short as broken",
+		func(f standin.EngineFaults) {
+			e.SetFaults(f)
+			s, err := c.Start(ctx, addr, request("a"))
+			Expect(err).NotTo(HaveOccurred())
+			_, tokens, err := read(ctx, s)
+			Expect(err).To(HaveOccurred())
+			var fin *engine.FinishedError
+			Expect(errors.As(err, &fin)).To(BeFalse(), "%v", err)
+			Expect(len(tokens)).To(BeNumerically("<", 40))
+			_, again := s.Next(ctx)
+			Expect(again).To(Equal(err))
+		},
+		Entry("by the death of the engine", standin.EngineFaults{DieAfterTokens: 10}),
+		Entry("by [DONE] without a finish reason", standin.EngineFaults{BadVersions: map[string]standin.BadVersion{"v1": {Mode: standin.BadTruncated}}}),
+		Entry("by an error event", standin.EngineFaults{BadVersions: map[string]standin.BadVersion{"v1": {Mode: standin.BadBreaks}}}),
+	)
+
+	// Guards against a crash that counts as a refusal before the run (P5): the
+	// engine may die before or after the header of its answer.
+	It("reports a request that crashes the engine as broken", func() {
+		e.SetFaults(standin.EngineFaults{CrashMarker: "dedication"})
+		s, err := c.Start(ctx, addr, request("a"))
+		if err == nil {
+			_, _, err = read(ctx, s)
+		}
+		var fin *engine.FinishedError
+		var ref *engine.RefusedError
+		Expect(err).To(HaveOccurred())
+		Expect(errors.As(err, &fin) || errors.As(err, &ref)).To(BeFalse(), "%v", err)
+		Eventually(func() int64 { return e.Stats().Crashes }).Should(Equal(int64(1)))
+	})
+
+	// Guards against a Next that cannot be ended on a silent connection.
+	It("ends a blocked Next by its context and by Close", func() {
+		for _, end := range []func(engine.Stream, context.CancelFunc){
+			func(s engine.Stream, _ context.CancelFunc) { _ = s.Close() },
+			func(_ engine.Stream, cancel context.CancelFunc) { cancel() },
+		} {
+			r := request(fmt.Sprint(time.Now().UnixNano()))
+			r.MaxTokens = 100000
+			s, err := c.Start(ctx, addr, r)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = s.Next(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			e.Pause()
+			next, cancel := context.WithCancel(ctx)
+			done := make(chan error, 1)
+			go func() {
+				for {
+					if _, err := s.Next(next); err != nil {
+						done <- err
+						return
+					}
+				}
+			}()
+			Consistently(done, "50ms").ShouldNot(Receive())
+			end(s, cancel)
+			Eventually(done).Should(Receive(HaveOccurred()))
+			e.Continue()
+			cancel()
+		}
+	})
+
+	// Guards against a stream that ends with the deadline of its opening.
+	It("outlives the context that opened it", func() {
+		open, cancel := context.WithCancel(ctx)
+		s, err := c.Start(open, addr, request("a"))
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		text, _, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishLength))
+		check(text, 40)
+	})
+
+	Describe("Order", func() {
+		order := func(fence uint64, version string) error {
+			return c.Order(ctx, addr, engine.Order{Fence: fence, Model: "model", Version: version})
+		}
+		// Guards against an old owner of a move that overrules a new one.
+		It("reports an old fencing number on an engine that refuses", func() {
+			Expect(order(5, "v2")).To(Succeed())
+			Expect(order(5, "v2")).To(Succeed())
+			Expect(errors.Is(order(4, "v1"), engine.ErrStaleFence)).To(BeTrue())
+			Eventually(func(g Gomega) {
+				l, err := c.Load(ctx, addr)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(l.Version).To(Equal("v2"))
+			}).Should(Succeed())
+		})
+		It("is obeyed with an old fencing number by an engine that ignores it", func() {
+			e.SetFaults(standin.EngineFaults{Fencing: standin.FencingIgnores})
+			Expect(order(5, "v2")).To(Succeed())
+			Expect(order(4, "v1")).To(Succeed())
+			Expect(e.Stats().Version).To(Equal("v1"))
+		})
+	})
+
+	It("reads load reports", func() {
+		e.SetFaults(standin.EngineFaults{Leaving: standin.LeavingReported})
+		Eventually(func(g Gomega) {
+			l, err := c.Load(ctx, addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(l.Leaving).To(BeTrue())
+			g.Expect(l.Incarnation).To(Equal(e.Stats().Incarnation))
+			g.Expect(l.MemoryBytes).To(Equal(int64(4 << 30)))
+		}).Should(Succeed())
+		e.SetFaults(standin.EngineFaults{Load: standin.LoadLost})
+		_, err := c.Load(ctx, addr)
+		Expect(refusal(err).Status).To(Equal(http.StatusServiceUnavailable))
+	})
+})
+
+var _ = Describe("Client with an engine that breaks the protocol", func() {
+	serve := func(body string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+		}))
+		DeferCleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	// Guards against a guess at the place of a token in the answer (P1).
+	DescribeTable("reports the stream as broken",
+		func(body, message string) {
+			ctx := context.Background()
+			s, err := completions.New(completions.Options{}).Start(ctx, serve(body), engine.Request{ID: "a"})
+			Expect(err).NotTo(HaveOccurred())
+			_, _, err = read(ctx, s)
+			Expect(err).To(MatchError(ContainSubstring(message)))
+		},
+		Entry("gap", "id: 0\ndata: {\"choices\":[{\"text\":\"a \"}]}\n\nid: 2\ndata: {\"choices\":[{\"text\":\"b \"}]}\n\n", "token 2 where 1 was due"),
+		Entry("repeat", "id: 0\ndata: {\"choices\":[{\"text\":\"a \"}]}\n\nid: 0\ndata: {\"choices\":[{\"text\":\"a \"}]}\n\n", "token 0 where 1 was due"),
+		Entry("token without an id", "data: {\"choices\":[{\"text\":\"a \"}]}\n\n", "no id"),
+		Entry("no JSON", "id: 0\ndata: {\n\n", "not valid JSON"),
+		Entry("unknown finish reason", "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"abort\"}]}\n\n", "abort"),
+		Entry("end without [DONE]", "id: 0\ndata: {\"choices\":[{\"text\":\"a \"}]}\n\n", "unexpected EOF"),
+		Entry("endless line", strings.Repeat("x", 100<<10), "longer than"),
+	)
+	It("accepts comments, CR LF, several data lines and a finish reason on the last token", func() {
+		ctx := context.Background()
+		body := ": keep-alive\r\n\r\nid: 0\r\ndata: {\"choices\":\r\ndata: [{\"text\":\"a \",\"finish_reason\":\"stop\"}]}\r\n\r\n"
+		s, err := completions.New(completions.Options{}).Start(ctx, serve(body), engine.Request{ID: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		text, _, err := read(ctx, s)
+		Expect(finished(err)).To(Equal(engine.FinishStop))
+		Expect(text).To(Equal("a "))
+	})
+	// Guards against a dial that blocks for the kernel's default of minutes.
+	It("bounds the time to the header", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		c := completions.New(completions.Options{HeaderTimeout: 50 * time.Millisecond})
+		_, err = c.Start(context.Background(), ln.Addr().String(), engine.Request{ID: "a"})
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+	})
+})
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,305 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rotisserie/eris"
+)
+
+// loopback is the default listening address of stand-ins.
+const loopback = "127.0.0.1:0"
+
+// server is an HTTP server whose connections can be reset, paused or hung.
+type server struct {
+	handler http.Handler
+
+	mu     sync.Mutex
+	addr   string
+	http   *http.Server
+	cancel context.CancelFunc
+	conns  map[*conn]struct{}
+	// paused is closed when a pause ends; nil when there is none.
+	paused chan struct{}
+	// hangNext is how many of the next accepted connections hang.
+	hangNext int
+	served   sync.WaitGroup
+}
+
+// conn is an accepted connection.
+type conn struct {
+	net.Conn
+	s    *server
+	hung atomic.Bool
+	// follows is the generation that is streamed on the connection.
+	follows atomic.Pointer[string]
+	closed  chan struct{}
+	once    sync.Once
+}
+
+type connKey struct{}
+
+// connOf returns the connection that a request came on.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+func newServer(h http.Handler) *server {
+	return &server{handler: h, conns: map[*conn]struct{}{}}
+}
+
+// start listens. After stop it listens at the same address again.
+func (s *server) start(addr string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return nil
+	}
+	if s.addr != "" {
+		addr = s.addr
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	hs := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: time.Minute,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	s.addr, s.http, s.cancel = ln.Addr().String(), hs, cancel
+	s.served.Add(1)
+	go func() {
+		defer s.served.Done()
+		_ = hs.Serve(&listener{Listener: ln, s: s})
+	}()
+	return nil
+}
+
+// stop resets all connections; the address refuses afterwards.
+func (s *server) stop() {
+	s.mu.Lock()
+	hs, cancel := s.http, s.cancel
+	s.http = nil
+	s.mu.Unlock()
+	if hs == nil {
+		return
+	}
+	s.resetAll()
+	_ = hs.Close()
+	cancel()
+}
+
+// resetAll resets the open connections and goes on listening.
+func (s *server) resetAll() {
+	s.mu.Lock()
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+func (s *server) address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// pause stops all input and output of open and new connections.
+func (s *server) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused == nil {
+		s.paused = make(chan struct{})
+	}
+}
+
+// unpause ends a pause.
+func (s *server) unpause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused != nil {
+		close(s.paused)
+		s.paused = nil
+	}
+}
+
+// gate returns a channel that is closed when the pause ends, or nil.
+func (s *server) gate() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paused
+}
+
+// hangOpen makes all open connections silent for good. New ones work.
+func (s *server) hangOpen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.hung.Store(true)
+	}
+	return len(s.conns)
+}
+
+// hangAccepted makes the next n accepted connections silent from the start.
+func (s *server) hangAccepted(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangNext = n
+}
+
+type listener struct {
+	net.Listener
+	s *server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, s: l.s, closed: make(chan struct{})}
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.s.hangNext > 0 {
+		l.s.hangNext--
+		c.hung.Store(true)
+	}
+	l.s.conns[c] = struct{}{}
+	return c, nil
+}
+
+// Read blocks during a pause. On a hung connection it discards all input
+// until the peer closes.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil {
+			return n, err
+		}
+		if !c.wait() {
+			return 0, net.ErrClosed
+		}
+		if !c.hung.Load() {
+			return n, nil
+		}
+	}
+}
+
+// Write blocks during a pause. On a hung connection it discards the output.
+func (c *conn) Write(p []byte) (int, error) {
+	if !c.wait() {
+		return 0, net.ErrClosed
+	}
+	if c.hung.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// wait returns after a pause, and false when the connection was closed.
+func (c *conn) wait() bool {
+	for {
+		gate := c.s.gate()
+		if gate == nil {
+			return true
+		}
+		select {
+		case <-gate:
+		case <-c.closed:
+			return false
+		}
+	}
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.s.mu.Lock()
+		delete(c.s.conns, c)
+		c.s.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// reset closes the connection with a TCP reset.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// newRouter returns a router without log output.
+func newRouter() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	r.UseRawPath = true
+	r.UnescapePathValues = true
+	return r
+}
+
+// refuse answers in the form that the design page gives for refusals.
+func refuse(c *gin.Context, status int, code, outcome, message string) {
+	c.JSON(status, gin.H{"error": gin.H{"message": message, "type": "standin", "code": code, "outcome": outcome}})
+}
+
+// controlled is a stand-in with its control listener.
+type controlled struct {
+	control *server
+}
+
+func startControl(addr string, routes func(gin.IRouter)) (controlled, error) {
+	if addr == "" {
+		addr = loopback
+	}
+	r := newRouter()
+	routes(r.Group("/control"))
+	s := newServer(r)
+	return controlled{control: s}, s.start(addr)
+}
+
+// ControlAddress is the HOST:PORT of the HTTP control. It is a listener of
+// its own, so that it works while the stand-in is paused or dead.
+func (c controlled) ControlAddress() string { return c.control.address() }
+
+// bind decodes a JSON body. An empty body leaves out as it is.
+func bind(c *gin.Context, out any) bool {
+	d := json.NewDecoder(c.Request.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(out); err != nil && !errors.Is(err, io.EOF) {
+		c.JSON(http.StatusBadRequest, gin.H{"error": gin.H{"message": err.Error()}})
+		return false
+	}
+	return true
+}
+
+// Duration is a duration that is written as text, such as "20ms", in JSON.
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
