--- /dev/null
+++ b/bench/bench.go
@@ -0,0 +1,291 @@
+// Package bench is a load and experiment tool: it runs a fleet of real daemons
+// and stand-ins on loopback, sends open-loop load, injects faults by schedule
+// and reports what callers and upstreams saw.
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/client"
+	"github.com/gooseberryroad/gooseberryroad/fleet"
+	"github.com/gooseberryroad/gooseberryroad/standin"
+)
+
+// Options select a run.
+type Options struct {
+	Scenario string
+	Seed     uint64
+	// Duration is how long new requests arrive; 0 means the scenario's own.
+	Duration time.Duration
+	Progress io.Writer
+}
+
+// Scenario is one experiment.
+type Scenario struct {
+	Name string
+	// Help says in one sentence what happens.
+	Help     string
+	Duration time.Duration
+	Fleet    fleet.Options
+	Workload Workload
+	// Faults returns the schedule of faults for a run of the given length.
+	Faults func(r *run, d time.Duration) []fault
+	// Finish runs after the load, for example to wait for a move.
+	Finish func(ctx context.Context, r *run) error
+}
+
+type fault struct {
+	at   time.Duration
+	name string
+	do   func(ctx context.Context) error
+}
+
+// drainTime is how long a run waits for answers after the last arrival.
+const drainTime = 30 * time.Second
+
+// run is one execution of a scenario.
+type run struct {
+	o     Options
+	s     Scenario
+	f     *fleet.Fleet
+	rnd   *rand.Rand
+	began time.Time
+
+	mu     sync.Mutex
+	report Report
+	points []Point
+
+	firstToken, between, resume *recorder
+	clients                     []*client.Client
+}
+
+// Run executes a scenario and returns its report.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	s, ok := find(o.Scenario)
+	if !ok {
+		return nil, eris.Errorf("unknown scenario %q; known: %v", o.Scenario, Names())
+	}
+	if o.Duration == 0 {
+		o.Duration = s.Duration
+	}
+	if o.Progress == nil {
+		o.Progress = io.Discard
+	}
+	r := &run{o: o, s: s, rnd: rand.New(rand.NewPCG(o.Seed, 0)), firstToken: newRecorder(), between: newRecorder(), resume: newRecorder()}
+	r.report = Report{Scenario: s.Name, Seed: o.Seed, DurationSeconds: o.Duration.Seconds()}
+	f, err := fleet.Start(ctx, s.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	r.f = f
+	if err := r.execute(ctx); err != nil {
+		return nil, err
+	}
+	return &r.report, nil
+}
+
+func (r *run) execute(ctx context.Context) error {
+	load := r.s.Workload.arrivals(r.rnd, r.o.Duration)
+	var faults []fault
+	if r.s.Faults != nil {
+		faults = r.s.Faults(r, r.o.Duration)
+	}
+	before := r.counters()
+	cpu := processorTime()
+	r.began = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.o.Duration+drainTime)
+	defer cancel()
+	defer r.closeClients()
+
+	var wg sync.WaitGroup
+	failed := make(chan error, 1)
+	wg.Go(func() {
+		if err := r.inject(ctx, faults); err != nil {
+			failed <- err
+		}
+	})
+	for _, a := range load {
+		if err := sleepUntil(ctx, r.began.Add(a.at)); err != nil {
+			return err
+		}
+		wg.Go(func() { r.call(ctx, a) })
+	}
+	r.progress("all %d requests sent", len(load))
+	wg.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+	}
+	if r.s.Finish != nil {
+		if err := r.s.Finish(ctx, r); err != nil {
+			return err
+		}
+	}
+	r.summarise(before, processorTime()-cpu)
+	return nil
+}
+
+func (r *run) inject(ctx context.Context, faults []fault) error {
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
+	for _, f := range faults {
+		if err := sleepUntil(ctx, r.began.Add(f.at)); err != nil {
+			return err
+		}
+		r.progress("fault: %s", f.name)
+		r.mu.Lock()
+		r.report.Faults = append(r.report.Faults, FaultMark{AtSeconds: time.Since(r.began).Seconds(), Name: f.name})
+		r.mu.Unlock()
+		if err := f.do(ctx); err != nil {
+			return eris.Wrapf(err, "fault %q", f.name)
+		}
+	}
+	return nil
+}
+
+func (r *run) progress(format string, args ...any) {
+	fmt.Fprintf(r.o.Progress, "%6.1fs %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// call sends one request, checks its answer and records what the caller saw.
+func (r *run) call(ctx context.Context, a arrival) {
+	c := r.client(a.account)
+	sent := time.Since(r.began)
+	answer, err := c.Complete(ctx, client.Request{Model: fleet.Model, Prompt: a.prompt, MaxTokens: a.tokens})
+	check := standin.CheckAnswer(answer.Text, standin.Answer{Model: fleet.Model, Prompt: a.prompt, Versions: []string{"v1", "v2"}, Tokens: a.tokens})
+	r.firstToken.add(answer.FirstToken)
+	for _, g := range answer.Gaps {
+		r.between.add(g)
+	}
+	for _, g := range answer.ResumeGaps {
+		r.resume.add(g)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := Point{AtSeconds: sent.Seconds(), FirstTokenMS: milliseconds(answer.FirstToken), MaxGapMS: milliseconds(maxOf(answer.Gaps)), Reconnects: answer.Reconnects}
+	r.report.Requests++
+	r.report.TokensDelivered += int64(check.Tokens)
+	var refusal *client.Refusal
+	switch {
+	case err == nil && check.OK():
+		r.report.AnswersWhole++
+	case errors.As(err, &refusal) && refusal.Outcome == "not_run" && answer.Text == "":
+		r.report.Refused++
+		p.Refused = true
+	case err == nil:
+		r.broken(&p, a, check.Err())
+	default:
+		r.broken(&p, a, err)
+	}
+	r.points = append(r.points, p)
+}
+
+// maxFailures bounds the failures that a report describes.
+const maxFailures = 10
+
+func (r *run) broken(p *Point, a arrival, err error) {
+	r.report.AnswersBroken++
+	p.Broken = true
+	if len(r.report.Failures) < maxFailures {
+		r.report.Failures = append(r.report.Failures, fmt.Sprintf("request at %.2fs: %v", a.at.Seconds(), err))
+	}
+}
+
+// client returns a caller of the account. Each has the daemons in another
+// order, as behind a balancer.
+func (r *run) client(account int) *client.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := client.New(client.Options{
+		Addresses: r.f.Callers(r.rnd.IntN(len(r.f.Daemons))),
+		Key:       fleet.AccountKey(account),
+		HoldText:  true,
+	})
+	r.clients = append(r.clients, c)
+	return c
+}
+
+func (r *run) closeClients() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.clients {
+		c.Close()
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// counters are sums over all engines and the store.
+type counters struct {
+	generated, prefilledAgain, crashes int64
+}
+
+func (r *run) counters() counters {
+	var c counters
+	for _, e := range r.f.Engines {
+		s := e.Stats()
+		c.generated += s.Generated
+		c.prefilledAgain += s.PrefilledAgain
+		c.crashes += s.Crashes
+	}
+	return c
+}
+
+// processorTime is that of the whole process: daemons, stand-ins and callers.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func (r *run) summarise(before counters, cpu time.Duration) {
+	after := r.counters()
+	rep := &r.report
+	rep.FirstTokenMS = r.firstToken.quantiles()
+	rep.BetweenTokensMS = r.between.quantiles()
+	rep.ResumeLatencyMS = r.resume.quantiles()
+	rep.TokensGenerated = after.generated - before.generated
+	rep.TokensPrefilledAgain = after.prefilledAgain - before.prefilledAgain
+	rep.EngineCrashes = after.crashes - before.crashes
+	if rep.TokensDelivered > 0 {
+		extra := rep.TokensGenerated - rep.TokensDelivered + rep.TokensPrefilledAgain
+		rep.ExtraTokensRatio = float64(extra) / float64(rep.TokensDelivered)
+		rep.ProcessCPUPerTokenUS = float64(cpu.Microseconds()) / float64(rep.TokensDelivered)
+	}
+	rep.Processors = runtime.GOMAXPROCS(0)
+	sort.Slice(r.points, func(i, j int) bool { return r.points[i].AtSeconds < r.points[j].AtSeconds })
+	rep.Points = r.points
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func maxOf(ds []time.Duration) time.Duration {
+	var m time.Duration
+	for _, d := range ds {
+		m = max(m, d)
+	}
+	return m
+}
--- /dev/null
+++ b/bench/workload.go
@@ -0,0 +1,75 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Workload describes open-loop arrivals: requests come at their time, however
+// long earlier ones take, so that a slow system cannot slow its own load down.
+type Workload struct {
+	// PerSecond is the mean rate of Poisson arrivals.
+	PerSecond float64
+	// ShortTokens and LongTokens are the lengths of answers; LongShare is the
+	// share of long ones.
+	ShortTokens, LongTokens int
+	LongShare               float64
+	// PromptWords is the mean length of prompts.
+	PromptWords int
+	// Accounts get requests by Weights; the first accounts are the large ones.
+	Weights []float64
+}
+
+// arrival is one request of a workload.
+type arrival struct {
+	at      time.Duration
+	account int
+	prompt  string
+	tokens  int
+}
+
+// sharedPrefixes is the number of different openings of prompts. Requests of
+// one deployment repeat a few instructions, which engines cache.
+const sharedPrefixes = 4
+
+// arrivals returns all requests of a run in order of time.
+func (w Workload) arrivals(rnd *rand.Rand, d time.Duration) []arrival {
+	var out []arrival
+	for at := time.Duration(0); ; {
+		at += time.Duration(rnd.ExpFloat64() / w.PerSecond * float64(time.Second))
+		if at >= d {
+			return out
+		}
+		tokens := w.ShortTokens
+		if rnd.Float64() < w.LongShare {
+			tokens = w.LongTokens
+		}
+		out = append(out, arrival{at: at, account: w.account(rnd), prompt: w.prompt(rnd, len(out)), tokens: tokens})
+	}
+}
+
+func (w Workload) account(rnd *rand.Rand) int {
+	var total float64
+	for _, x := range w.Weights {
+		total += x
+	}
+	pick := rnd.Float64() * total
+	for i, x := range w.Weights {
+		if pick -= x; pick < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func (w Workload) prompt(rnd *rand.Rand, n int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "instructions %d ", rnd.IntN(sharedPrefixes))
+	for range w.PromptWords {
+		fmt.Fprintf(&b, "word%d ", rnd.IntN(1000))
+	}
+	fmt.Fprintf(&b, "request %d", n)
+	return b.String()
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,367 @@
+// Package daemon assembles one serving process from its settings: the control
+// goroutine, the callers' front end, the operator API and the drivers. The
+// parts are wired with uber/fx; this package has no decisions.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/gooseberryroad/gooseberryroad/control"
+	"github.com/gooseberryroad/gooseberryroad/cursor"
+	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/entry"
+	"github.com/gooseberryroad/gooseberryroad/kernel"
+	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/operator"
+	"github.com/gooseberryroad/gooseberryroad/plain"
+	"github.com/gooseberryroad/gooseberryroad/settings"
+	"github.com/gooseberryroad/gooseberryroad/store"
+	"github.com/gooseberryroad/gooseberryroad/telemetry"
+	"github.com/gooseberryroad/gooseberryroad/vmlist"
+)
+
+// Options are what a daemon needs besides its settings.
+type Options struct {
+	Settings *settings.Settings
+	Logger   *slog.Logger
+}
+
+// Daemon is one serving process. Start it once; end it with Stop or Kill.
+type Daemon struct {
+	app       *fx.App
+	settings  *settings.Settings
+	log       *slog.Logger
+	loop      *control.Loop
+	entry     *entry.Entry
+	plain     *plain.Handler
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+	cancel    context.CancelFunc
+	draining  atomic.Bool
+	done      chan struct{}
+}
+
+// listeners are bound before anything runs, so that a busy address is an error
+// of New.
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.operators, l.peers} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// New binds the daemon's addresses and wires its parts.
+func New(o Options) (*Daemon, error) {
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	gin.SetMode(gin.ReleaseMode)
+	d := &Daemon{settings: o.Settings, log: telemetry.Part(o.Logger, "daemon"), done: make(chan struct{})}
+	ln, err := listen(o.Settings.Daemon)
+	if err != nil {
+		return nil, err
+	}
+	d.listeners = ln
+	d.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return &fxevent.SlogLogger{Logger: slog.New(slog.DiscardHandler)} }),
+		fx.Supply(o.Settings, o.Logger, ln),
+		fx.Provide(newStore, newLister, newEngines, newSealer, newControlMetrics, newLoop, newEntry, newPlain, newOperator),
+		fx.Invoke(d.attach),
+	)
+	if err := d.app.Err(); err != nil {
+		ln.close()
+		return nil, eris.Wrap(err, "wire the daemon")
+	}
+	return d, nil
+}
+
+func listen(s settings.Daemon) (listeners, error) {
+	var ln listeners
+	for _, l := range []struct {
+		dst     *net.Listener
+		address string
+	}{{&ln.callers, s.CallerAddress}, {&ln.operators, s.OperatorAddress}, {&ln.peers, s.PeerAddress}} {
+		var err error
+		if *l.dst, err = net.Listen("tcp", l.address); err != nil {
+			ln.close()
+			return listeners{}, eris.Wrap(err, "listen")
+		}
+	}
+	return ln, nil
+}
+
+func newStore(s *settings.Settings) (store.Store, error) {
+	return kernel.Load[store.Store](s.Store.Driver, kernel.Options{Address: s.Store.Address})
+}
+
+func newLister(s *settings.Settings) (vmlist.Lister, error) {
+	if s.VMs.Address == "" {
+		return nil, nil
+	}
+	return kernel.Load[vmlist.Lister](s.VMs.Driver, kernel.Options{Address: s.VMs.Address})
+}
+
+// engines are the engine drivers by module ID.
+type engines map[string]engine.Client
+
+func newEngines() (engines, error) {
+	clients := engines{}
+	for _, id := range kernel.IDs("engine") {
+		c, err := kernel.Load[engine.Client](id, kernel.Options{})
+		if err != nil {
+			return nil, err
+		}
+		clients[id] = c
+	}
+	return clients, nil
+}
+
+func (e engines) client(driver string) (engine.Client, error) {
+	c, ok := e[driver]
+	if !ok {
+		return nil, eris.Errorf("unknown engine driver %q", driver)
+	}
+	return c, nil
+}
+
+func newSealer(s *settings.Settings) (*cursor.Sealer, error) {
+	return cursor.NewSealer(s.Cursor.Key, rand.Reader)
+}
+
+// seed is the only source of randomness that decisions get.
+func seed() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, eris.Wrap(err, "read a random seed")
+	}
+	return binary.LittleEndian.Uint64(b[:]), nil
+}
+
+// controlMetrics are the metrics of the control goroutine and of peer links.
+type controlMetrics struct{ *metrics.Set }
+
+func newControlMetrics() controlMetrics { return controlMetrics{metrics.NewSet()} }
+
+func newLoop(s *settings.Settings, log *slog.Logger, st store.Store, vms vmlist.Lister, clients engines, ln listeners, set controlMetrics) (*control.Loop, error) {
+	n, err := seed()
+	if err != nil {
+		return nil, err
+	}
+	return control.New(control.Options{
+		Node: node.Options{
+			Name:        s.Daemon.Name,
+			DataCentre:  s.Daemon.DataCentre,
+			Region:      s.Daemon.Region,
+			PeerAddress: ln.peers.Addr().String(),
+			Incarnation: uint64(time.Now().UnixNano()),
+			Seeds:       s.Peers.Seeds,
+			Rand:        mathrand.New(mathrand.NewPCG(n, 1)),
+		},
+		Store:        st,
+		OpenStore:    func() (store.Store, error) { return newStore(s) },
+		VMs:          vms,
+		Engine:       clients.client,
+		Logger:       log,
+		StoreTimeout: s.Store.Timeout,
+		VMTimeout:    s.VMs.Timeout,
+		Metrics:      set.Set,
+	}), nil
+}
+
+func newEntry(s *settings.Settings, log *slog.Logger, loop *control.Loop, clients engines, sealer *cursor.Sealer) (*entry.Entry, error) {
+	n, err := seed()
+	if err != nil {
+		return nil, err
+	}
+	return entry.New(entry.Options{
+		Daemon:         s.Daemon.Name,
+		DataCentre:     s.Daemon.DataCentre,
+		Region:         s.Daemon.Region,
+		Snapshot:       loop.Snapshot,
+		Clients:        clients,
+		Sealer:         sealer,
+		CursorLifetime: s.Cursor.Lifetime,
+		Logger:         log,
+		Seed:           n,
+		HeldBytes:      s.Memory.HeldBytes,
+		Tracer:         otel.GetTracerProvider(),
+	}), nil
+}
+
+// idleConnections bounds connections kept open to one plain upstream.
+const idleConnections = 16
+
+func newPlain(s *settings.Settings, log *slog.Logger, loop *control.Loop, st store.Store) (*plain.Handler, error) {
+	n, err := seed()
+	if err != nil {
+		return nil, err
+	}
+	return plain.New(plain.Options{
+		Snapshot: loop.Snapshot,
+		Store:    st,
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     30 * time.Second,
+		},
+		Seed:         n,
+		Nonce:        rand.Text,
+		Daemon:       s.Daemon.Name,
+		Logger:       log,
+		StoreTimeout: s.Store.Timeout,
+		Tracer:       otel.GetTracerProvider(),
+	}), nil
+}
+
+func newOperator(s *settings.Settings, log *slog.Logger, loop *control.Loop, st store.Store, e *entry.Entry, set controlMetrics) *operator.Server {
+	return operator.New(operator.Options{
+		Daemon:  s.Daemon.Name,
+		Control: loop,
+		Store:   st,
+		Teams:   s.Teams,
+		Logger:  log,
+		Metrics: []*metrics.Set{set.Set, e.Metrics()},
+	})
+}
+
+// attach builds the HTTP servers and hooks them into the application's life.
+func (d *Daemon) attach(lc fx.Lifecycle, loop *control.Loop, e *entry.Entry, p *plain.Handler, op *operator.Server) {
+	d.loop, d.entry, d.plain = loop, e, p
+	mux := http.NewServeMux()
+	mux.Handle(plain.Prefix, p)
+	mux.Handle("/", e.Handler())
+	d.callers = &http.Server{
+		Handler:           mux,
+		ConnContext:       e.ConnContext,
+		ReadHeaderTimeout: 5 * time.Second,
+		MaxHeaderBytes:    32 << 10,
+		IdleTimeout:       time.Minute,
+	}
+	d.operators = &http.Server{Handler: op.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
+}
+
+func (d *Daemon) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() {
+		defer close(d.done)
+		if err := d.loop.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			d.log.Error("control loop ended", "cause", err)
+		}
+	}()
+	go d.serve(d.callers, d.listeners.callers)
+	go d.serve(d.operators, d.listeners.operators)
+	return nil
+}
+
+func (d *Daemon) serve(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error("listener failed", "address", ln.Addr().String(), "cause", err)
+	}
+}
+
+// stop drains: the daemon reports that it is not ready, goes on accepting
+// until the balancer had time to notice, and lets running requests finish. It
+// hands the rest over with a cursor at the deadline or when ctx ends.
+func (d *Daemon) stop(ctx context.Context) error {
+	d.loop.Post(node.Drain{})
+	sleep(ctx, d.settings.Drain.Notice)
+	drain, cancel := context.WithTimeout(ctx, d.settings.Drain.Deadline)
+	defer cancel()
+	d.entry.Drain(drain)
+	// Plain calls end by themselves within their route's timeout.
+	if err := d.callers.Shutdown(drain); err != nil {
+		d.log.Warn("plain calls still ran at the drain deadline", "cause", err)
+	}
+	if err := d.plain.Drain(drain); err != nil {
+		d.log.Warn("claims were not settled before the drain deadline", "cause", err)
+	}
+	d.close()
+	return nil
+}
+
+func (d *Daemon) close() {
+	d.callers.Close()
+	d.operators.Close()
+	d.listeners.close()
+	d.cancel()
+	<-d.done
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Start begins to serve.
+func (d *Daemon) Start(ctx context.Context) error {
+	if err := d.app.Start(ctx); err != nil {
+		return eris.Wrap(err, "start the daemon")
+	}
+	d.log.Info("daemon serves", "name", d.settings.Daemon.Name, "callers", d.CallerAddress(), "operator", d.OperatorAddress(), "peers", d.PeerAddress())
+	return nil
+}
+
+// Stop drains and ends the daemon. When ctx ends first, streams that still run
+// are handed over with a cursor at once.
+func (d *Daemon) Stop(ctx context.Context) error {
+	if d.draining.Swap(true) {
+		return nil
+	}
+	// The hook needs its time after ctx has ended, so fx must not cut it.
+	stopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, cancel)
+	defer stop()
+	return d.stop(stopCtx)
+}
+
+// Kill ends the daemon as the loss of its VM does: connections break, nothing
+// is drained. Tests and experiments use it.
+func (d *Daemon) Kill() {
+	if !d.draining.Swap(true) {
+		d.close()
+	}
+}
+
+// CallerAddress returns the bound address for callers.
+func (d *Daemon) CallerAddress() string { return d.listeners.callers.Addr().String() }
+
+// OperatorAddress returns the bound address of the operator API.
+func (d *Daemon) OperatorAddress() string { return d.listeners.operators.Addr().String() }
+
+// PeerAddress returns the bound address for other daemons.
+func (d *Daemon) PeerAddress() string { return d.listeners.peers.Addr().String() }
+
+// Entry returns the callers' front end, for measurements.
+func (d *Daemon) Entry() *entry.Entry { return d.entry }
+
+// Loop returns the control loop, for measurements.
+func (d *Daemon) Loop() *control.Loop { return d.loop }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,290 @@
+// Package fleet runs a whole small deployment in one process on loopback:
+// daemons, model engines, plain services and the platform's key-value service
+// as stand-ins. The demo and the bench use it. Daemons and stand-ins are the
+// real code behind real sockets; only their processes are shared.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/daemon"
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/settings"
+	"github.com/gooseberryroad/gooseberryroad/standin"
+)
+
+// Names that every fleet uses.
+const (
+	Model   = "dedication-7b"
+	Service = "dedication"
+	Plain   = "tags"
+	Team    = "registro"
+	TeamKey = "team-key-of-the-registro"
+	Region  = "rio-plata"
+)
+
+// Options size a fleet.
+type Options struct {
+	Daemons     int
+	Engines     int
+	DataCentres int
+	Accounts    int
+	// Engine is the template of each engine.
+	Engine standin.EngineOptions
+	// Plain starts one plain service with this many replicas.
+	Plain  int
+	Logger *slog.Logger
+	// DrainNotice and DrainDeadline are settings of the daemons.
+	DrainNotice, DrainDeadline time.Duration
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	o       Options
+	Store   *standin.Store
+	Engines []*Engine
+	Daemons []*daemon.Daemon
+	http    *http.Client
+}
+
+// Engine is one engine with its place.
+type Engine struct {
+	*standin.Engine
+	Name, DataCentre, Version string
+}
+
+// Start starts everything, applies the documents and waits until every daemon
+// serves them.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{o: o, http: &http.Client{Timeout: 10 * time.Second}}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) (err error) {
+	if f.Store, err = standin.StartStore(ctx, standin.StoreOptions{}); err != nil {
+		return eris.Wrap(err, "start the store")
+	}
+	for range f.o.Engines {
+		if _, err := f.AddEngine(ctx, "v1"); err != nil {
+			return err
+		}
+	}
+	for range f.o.Daemons {
+		if _, err := f.AddDaemon(ctx); err != nil {
+			return err
+		}
+	}
+	if err := f.Apply(ctx, Service, f.Document(Versions{Serving: "v1"})); err != nil {
+		return err
+	}
+	return nil
+}
+
+// AddEngine starts one more engine with the given version. It gets work once a
+// document names it.
+func (f *Fleet) AddEngine(ctx context.Context, version string) (*Engine, error) {
+	o := f.o.Engine
+	o.Model, o.Version = Model, version
+	e, err := standin.StartEngine(ctx, o)
+	if err != nil {
+		return nil, eris.Wrap(err, "start an engine")
+	}
+	n := len(f.Engines)
+	added := &Engine{Engine: e, Name: fmt.Sprintf("e%02d", n), DataCentre: f.dataCentre(n), Version: version}
+	f.Engines = append(f.Engines, added)
+	return added, nil
+}
+
+func (f *Fleet) dataCentre(n int) string { return fmt.Sprintf("dc%d", n%max(f.o.DataCentres, 1)) }
+
+// AddDaemon starts one more daemon.
+func (f *Fleet) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
+	n := len(f.Daemons)
+	var seeds []string
+	for _, d := range f.Daemons {
+		seeds = append(seeds, d.PeerAddress())
+	}
+	text := fmt.Sprintf(`
+[daemon]
+name = d%02d
+datacentre = %s
+region = %s
+caller_address = 127.0.0.1:0
+operator_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+[store]
+address = %s
+[peers]
+seeds = %s
+key = key of the peers of a fleet
+[cursor]
+key = key of the cursors of a fleet
+[drain]
+notice = %s
+deadline = %s
+[team.%s]
+key_sha256 = %s
+`, n, f.dataCentre(n), Region, f.Store.Address(), strings.Join(seeds, ","), f.o.DrainNotice, f.o.DrainDeadline, Team, document.HashKey(TeamKey))
+	s, problems := settings.Parse("fleet", []byte(text))
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	d, err := daemon.New(daemon.Options{Settings: s, Logger: f.o.Logger})
+	if err != nil {
+		return nil, err
+	}
+	if err := d.Start(ctx); err != nil {
+		return nil, err
+	}
+	f.Daemons = append(f.Daemons, d)
+	return d, nil
+}
+
+// AccountKey returns the bearer key of an account.
+func AccountKey(n int) string { return fmt.Sprintf("key-of-account-%d", n) }
+
+// Versions is the section [versions] of a document.
+type Versions struct {
+	Serving, Next string
+	Deadline      time.Time
+	Warm          time.Duration
+}
+
+// Document returns the document of the model service with all engines.
+func (f *Fleet) Document(v Versions) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[service]\nname = %s\nteam = %s\nkind = model\nmodel = %s\nresumes = true\npriorities = true\n", Service, Team, Model)
+	f.versions(&b, v)
+	for _, e := range f.Engines {
+		fmt.Fprintf(&b, "[upstream.%s]\naddress = %s\ndatacentre = %s\nregion = %s\nversion = %s\n", e.Name, e.Address(), e.DataCentre, Region, e.Version)
+	}
+	f.accounts(&b)
+	return b.String()
+}
+
+func (f *Fleet) versions(b *strings.Builder, v Versions) {
+	fmt.Fprintf(b, "[versions]\nserving = %s\n", v.Serving)
+	if v.Next != "" {
+		fmt.Fprintf(b, "next = %s\ndeadline = %s\n", v.Next, v.Deadline.Format(time.RFC3339))
+	}
+	if v.Warm > 0 {
+		fmt.Fprintf(b, "warm = %s\n", v.Warm)
+	}
+}
+
+func (f *Fleet) accounts(b *strings.Builder) {
+	for i := range max(f.o.Accounts, 1) {
+		fmt.Fprintf(b, "[account.a%d]\nkey_sha256 = %s\n", i, document.HashKey(AccountKey(i)))
+	}
+}
+
+// Apply writes a document through the first live daemon's operator API and
+// waits until every daemon has it in force.
+func (f *Fleet) Apply(ctx context.Context, service, text string) error {
+	daemons := f.Live()
+	if len(daemons) == 0 {
+		return eris.New("no daemon is alive")
+	}
+	_, current := f.Store.Value("config/" + service)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+daemons[0].OperatorAddress()+"/v1/services/"+service, bytes.NewReader([]byte(text)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+TeamKey)
+	req.Header.Set("If-Match", fmt.Sprint(current))
+	res, err := f.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "apply a document")
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return eris.Wrap(err, "apply a document")
+	}
+	if res.StatusCode/100 != 2 {
+		return eris.Errorf("apply %s: status %d: %s", service, res.StatusCode, body)
+	}
+	_, revision := f.Store.Value("config/" + service)
+	return f.WaitFor(ctx, func() bool {
+		for _, d := range daemons {
+			view := d.Loop().Snapshot().Services[service]
+			if view == nil || view.Revision < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Live returns the daemons that have not been removed.
+func (f *Fleet) Live() []*daemon.Daemon {
+	var live []*daemon.Daemon
+	for _, d := range f.Daemons {
+		if d != nil {
+			live = append(live, d)
+		}
+	}
+	return live
+}
+
+// KillDaemon ends a daemon as the loss of its VM does.
+func (f *Fleet) KillDaemon(i int) {
+	if d := f.Daemons[i]; d != nil {
+		f.Daemons[i] = nil
+		d.Kill()
+	}
+}
+
+// Callers returns the caller addresses of live daemons, beginning with the
+// one at the given place, as a balancer would spread them.
+func (f *Fleet) Callers(first int) []string {
+	live := f.Live()
+	out := make([]string, len(live))
+	for i := range live {
+		out[i] = live[(first+i)%len(live)].CallerAddress()
+	}
+	return out
+}
+
+// pollInterval is how often WaitFor looks.
+const pollInterval = 5 * time.Millisecond
+
+// WaitFor returns nil once the condition holds, or an error when ctx ends.
+func (f *Fleet) WaitFor(ctx context.Context, condition func() bool) error {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for !condition() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "the fleet did not reach the expected state")
+		}
+	}
+	return nil
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for i := range f.Daemons {
+		f.KillDaemon(i)
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	if f.Store != nil {
+		f.Store.Close()
+	}
+}
