--- a/bench/bench.go
+++ b/bench/bench.go
@@ -208,8 +208,9 @@
 func (r *run) client(account int) *client.Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	first := r.rnd.IntN(len(r.f.Live()))
 	c := client.New(client.Options{
-		Addresses: r.f.Callers(r.rnd.IntN(len(r.f.Daemons))),
+		Addresses: r.f.Callers(first),
 		Key:       fleet.AccountKey(account),
 		HoldText:  true,
 	})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,8 +53,11 @@
 	o       Options
 	Store   *standin.Store
 	Engines []*Engine
-	Daemons []*daemon.Daemon
+	Plain   []*standin.Service
 	http    *http.Client
+
+	mu      sync.Mutex
+	daemons []*daemon.Daemon // nil where one was killed
 }
 
 // Engine is one engine with its place.
@@ -82,6 +86,13 @@
 			return err
 		}
 	}
+	for range f.o.Plain {
+		s, err := standin.StartService(ctx, standin.ServiceOptions{})
+		if err != nil {
+			return eris.Wrap(err, "start a plain service")
+		}
+		f.Plain = append(f.Plain, s)
+	}
 	for range f.o.Daemons {
 		if _, err := f.AddDaemon(ctx); err != nil {
 			return err
@@ -90,6 +101,11 @@
 	if err := f.Apply(ctx, Service, f.Document(Versions{Serving: "v1"})); err != nil {
 		return err
 	}
+	if f.o.Plain > 0 {
+		if err := f.Apply(ctx, Plain, f.plainDocument()); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -112,9 +128,12 @@
 
 // AddDaemon starts one more daemon.
 func (f *Fleet) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
-	n := len(f.Daemons)
+	f.mu.Lock()
+	n := len(f.daemons)
+	f.daemons = append(f.daemons, nil)
+	f.mu.Unlock()
 	var seeds []string
-	for _, d := range f.Daemons {
+	for _, d := range f.Live() {
 		seeds = append(seeds, d.PeerAddress())
 	}
 	text := fmt.Sprintf(`
@@ -149,7 +168,9 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
-	f.Daemons = append(f.Daemons, d)
+	f.mu.Lock()
+	f.daemons[n] = d
+	f.mu.Unlock()
 	return d, nil
 }
 
@@ -191,6 +212,18 @@
 	}
 }
 
+func (f *Fleet) plainDocument() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[service]\nname = %s\nteam = %s\nkind = plain\n", Plain, Team)
+	f.versions(&b, Versions{Serving: "v1"})
+	for i, s := range f.Plain {
+		fmt.Fprintf(&b, "[upstream.p%d]\naddress = %s\ndatacentre = %s\nregion = %s\nversion = v1\n", i, s.Address(), f.dataCentre(i), Region)
+	}
+	b.WriteString("[route.register]\npath = /tags\nmethods = POST\n[route.lookup]\npath = /tags/*\nmethods = GET\nidempotent = true\n")
+	f.accounts(&b)
+	return b.String()
+}
+
 // Apply writes a document through the first live daemon's operator API and
 // waits until every daemon has it in force.
 func (f *Fleet) Apply(ctx context.Context, service, text string) error {
@@ -231,8 +264,10 @@
 
 // Live returns the daemons that have not been removed.
 func (f *Fleet) Live() []*daemon.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var live []*daemon.Daemon
-	for _, d := range f.Daemons {
+	for _, d := range f.daemons {
 		if d != nil {
 			live = append(live, d)
 		}
@@ -240,10 +275,19 @@
 	return live
 }
 
+// Remove takes the daemon with the given place out of the fleet and returns
+// it, for the caller to Kill or Stop; nil if it is gone already.
+func (f *Fleet) Remove(i int) *daemon.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.daemons[i]
+	f.daemons[i] = nil
+	return d
+}
+
 // KillDaemon ends a daemon as the loss of its VM does.
 func (f *Fleet) KillDaemon(i int) {
-	if d := f.Daemons[i]; d != nil {
-		f.Daemons[i] = nil
+	if d := f.Remove(i); d != nil {
 		d.Kill()
 	}
 }
@@ -278,12 +322,15 @@
 
 // Close ends everything.
 func (f *Fleet) Close() {
-	for i := range f.Daemons {
-		f.KillDaemon(i)
+	for _, d := range f.Live() {
+		d.Kill()
 	}
 	for _, e := range f.Engines {
 		e.Close()
 	}
+	for _, s := range f.Plain {
+		s.Close()
+	}
 	if f.Store != nil {
 		f.Store.Close()
 	}
