Add VM list driver, VM list and service stand-ins, and their command

Development needs the remaining outside systems, and scripts need all of them as processes.

The control of each stand-in is a listener of its own, because a paused or dead stand-in must still take orders.

A slow stand-in store now applies a write also after its caller gave up; the first version dropped it, which hid writes that take effect late.

--- /dev/null
+++ b/cli/standin_test.go
@@ -0,0 +1,93 @@
+package cli_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/cli"
+)
+
+func TestCLI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cli")
+}
+
+var _ = Describe("standin", func() {
+	type running struct {
+		address, control string
+		stop             context.CancelFunc
+		code             chan int
+		stderr           *bytes.Buffer
+	}
+	start := func(args ...string) running {
+		GinkgoHelper()
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		out, w := io.Pipe()
+		r := running{stop: cancel, code: make(chan int, 1), stderr: &bytes.Buffer{}}
+		go func() {
+			r.code <- cli.Run(ctx, append([]string{"standin"}, args...), w, r.stderr)
+			w.Close()
+		}()
+		line, err := bufio.NewReader(out).ReadBytes('\n')
+		Expect(err).NotTo(HaveOccurred())
+		var ready struct{ Kind, Address, Control string }
+		Expect(json.Unmarshal(line, &ready)).To(Succeed())
+		Expect(ready.Kind).To(Equal(args[0]))
+		r.address, r.control = ready.Address, ready.Control
+		return r
+	}
+	post := func(url, body string) int {
+		GinkgoHelper()
+		res, err := http.Post("http://"+url, "application/json", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+
+	// Guards against a stand-in process that is not usable from scripts.
+	DescribeTable("prints its addresses, takes faults and ends with 0",
+		func(args ...string) {
+			r := start(args...)
+			Expect(post(r.control+"/control/faults", "{}")).To(Equal(http.StatusOK))
+			Expect(post(r.control+"/control/faults", `{"unknown":1}`)).To(Equal(http.StatusBadRequest))
+			res, err := http.Get("http://" + r.control + "/control/stats")
+			Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			Expect(res.StatusCode).To(Equal(http.StatusOK))
+			r.stop()
+			Eventually(r.code, 10*time.Second).Should(Receive(Equal(cli.ExitOK)))
+		},
+		Entry("engine", "engine", "--step=1ms"),
+		Entry("store", "store", "--writes-per-second=-1"),
+		Entry("vms", "vms", "--list", `[{"name":"e1","address":"127.0.0.1:9"}]`),
+		Entry("service", "service"),
+	)
+
+	DescribeTable("ends with 1 when it dies of a fault",
+		func(args ...string) {
+			r := start(args...)
+			Expect(post(r.control+"/control/die", "")).To(Equal(http.StatusOK))
+			Eventually(r.code, 10*time.Second).Should(Receive(Equal(cli.ExitFailed)))
+			Expect(r.stderr.String()).To(ContainSubstring("died"))
+		},
+		Entry("engine", "engine"),
+		Entry("service", "service"),
+	)
+
+	It("ends with 2 on faults that are no JSON", func() {
+		var stderr bytes.Buffer
+		Expect(cli.Run(context.Background(), []string{"standin", "engine", "--faults", "x"}, io.Discard, &stderr)).To(Equal(cli.ExitUsage))
+		Expect(stderr.String()).To(ContainSubstring("invalid character"))
+	})
+})
--- a/standin/server.go
+++ b/standin/server.go
@@ -303,3 +303,18 @@
 	*d = Duration(v)
 	return err
 }
+
+// delay waits, and returns false when ctx ended first.
+func delay(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -53,7 +53,8 @@
 type StoreFaults struct {
 	// Down is DownRefuses, DownErrors, DownHangs or empty.
 	Down string `json:"down,omitempty"`
-	// Slow delays each call before it takes effect.
+	// Slow delays each call before it takes effect. A write takes effect even
+	// when its caller has gone by then.
 	Slow Duration `json:"slow,omitempty"`
 	// LoseAnswers resets the connection of the next n writes after the write
 	// took effect; negative loses all.
@@ -356,18 +357,16 @@
 	}
 	s.mu.Unlock()
 	ctx := c.Request.Context()
-	if f.Slow > 0 {
-		t := time.NewTimer(time.Duration(f.Slow))
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return false
-		}
+	if write {
+		// A write that has arrived takes effect even when its caller gave up.
+		ctx = context.WithoutCancel(ctx)
+	}
+	if !delay(ctx, time.Duration(f.Slow)) {
+		return false
 	}
 	switch {
 	case f.Down == DownHangs:
-		<-ctx.Done()
+		<-c.Request.Context().Done()
 		return false
 	case f.Down != "":
 		c.String(http.StatusInternalServerError, "No cluster leader")
