--- a/plain/plain_test.go
+++ b/plain/plain_test.go
@@ -131,8 +131,10 @@
 	handler   *plain.Handler
 	server    *httptest.Server
 	transport *http.Transport
-	mu        sync.Mutex
-	results   []plain.Result
+	// gone receives a value when the server notices that a caller has gone.
+	gone    chan struct{}
+	mu      sync.Mutex
+	results []plain.Result
 }
 
 const document1 = `
@@ -185,7 +187,17 @@
 		change(&o)
 	}
 	f.handler = plain.New(o)
-	f.server = httptest.NewServer(f.handler)
+	f.gone = make(chan struct{}, 1)
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		stop := context.AfterFunc(r.Context(), func() {
+			select {
+			case f.gone <- struct{}{}:
+			default:
+			}
+		})
+		defer stop()
+		f.handler.ServeHTTP(w, r)
+	}))
 	DeferCleanup(func() {
 		f.server.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -414,6 +426,7 @@
 		<-entered
 		cancel()
 		Expect(<-failed).To(HaveOccurred())
+		Eventually(f.gone).Should(Receive())
 		close(leave)
 		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
 		Expect(a.status).To(Equal(201))
