--- a/claim/claim.go
+++ b/claim/claim.go
@@ -383,9 +383,6 @@
 		// Nobody ran, whatever body the released call had.
 		c.repeat = false
 		c.phase = phaseClaiming
-		if c.uncertain && c.uncertainBase != ev.Index {
-			c.uncertain = false
-		}
 		return c.writeOrDeadline(now, ev.Index)
 	}
 	// Another call's record. A write of this call expected an older index and
