--- a/cli/modules.go
+++ b/cli/modules.go
@@ -4,4 +4,5 @@
 import (
 	_ "github.com/gooseberryroad/gooseberryroad/modules/engine/completions"
 	_ "github.com/gooseberryroad/gooseberryroad/modules/store/consulkv"
+	_ "github.com/gooseberryroad/gooseberryroad/modules/vmlist/httpsd"
 )
