--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,225 @@
+// Package demo shows the system on one machine: it runs a small fleet, breaks
+// parts of it while requests run, and checks what callers got.
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/client"
+	"github.com/gooseberryroad/gooseberryroad/fleet"
+	"github.com/gooseberryroad/gooseberryroad/standin"
+)
+
+// Check is one promise with the figure that was measured.
+type Check struct {
+	Name   string  `json:"name"`
+	Held   bool    `json:"held"`
+	Figure float64 `json:"figure"`
+	Unit   string  `json:"unit"`
+	// Detail says what happened, in one sentence.
+	Detail string `json:"detail"`
+}
+
+// Result is the outcome of a demo.
+type Result struct {
+	Checks []Check `json:"checks"`
+	Held   bool    `json:"held"`
+}
+
+// maxGap is the longest time without output that callers accept after a loss.
+const maxGap = 4 * time.Second
+
+type demo struct {
+	f      *fleet.Fleet
+	out    io.Writer
+	result Result
+}
+
+// Run runs the demo and writes what happens to out. An error means that the
+// demo could not be carried out; a promise that did not hold is in the result.
+func Run(ctx context.Context, out io.Writer) (*Result, error) {
+	f, err := fleet.Start(ctx, fleet.Options{Daemons: 2, Engines: 4, DataCentres: 2, Plain: 2, Accounts: 2})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	d := &demo{f: f, out: out, result: Result{Held: true}}
+	d.say("2 daemons, 4 engines, 2 plain services and a key-value service run on loopback")
+	for _, step := range []func(context.Context) error{
+		d.engineLoss, d.entryLoss, d.order, d.storeOutage,
+	} {
+		if err := step(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return &d.result, nil
+}
+
+func (d *demo) say(format string, args ...any) { fmt.Fprintf(d.out, format+"\n", args...) }
+
+func (d *demo) check(c Check) {
+	d.result.Checks = append(d.result.Checks, c)
+	d.result.Held = d.result.Held && c.Held
+	verdict := "held"
+	if !c.Held {
+		verdict = "NOT HELD"
+	}
+	d.say("%-8s %-34s %8.1f %-8s %s", verdict, c.Name, c.Figure, c.Unit, c.Detail)
+}
+
+// longTokens is the length of the generation that faults interrupt.
+const longTokens = 600
+
+// complete runs one long generation and calls at once after a third of it.
+func (d *demo) complete(ctx context.Context, prompt string, first int, at func() error) (*client.Answer, error) {
+	var fault error
+	c := client.New(client.Options{
+		Addresses: d.f.Callers(first), Key: fleet.AccountKey(0), HoldText: true,
+		OnToken: func(i int, _ string) {
+			if i == longTokens/3 {
+				fault = at()
+			}
+		},
+	})
+	defer c.Close()
+	answer, err := c.Complete(ctx, client.Request{Model: fleet.Model, Prompt: prompt, MaxTokens: longTokens})
+	if fault != nil {
+		return nil, fault
+	}
+	return answer, err
+}
+
+// whole adds a check that the answer holds every token once and that output
+// went on in time.
+func (d *demo) whole(name, prompt string, a *client.Answer, err error, what string) error {
+	if a == nil {
+		return err
+	}
+	var gap time.Duration
+	for _, g := range a.Gaps {
+		gap = max(gap, g)
+	}
+	report := standin.CheckAnswer(a.Text, standin.Answer{Model: fleet.Model, Prompt: prompt, Version: "v1", Tokens: longTokens})
+	detail := what + "; every token arrived once"
+	if err == nil {
+		err = report.Err()
+	}
+	if err != nil {
+		detail = what + "; " + err.Error()
+	}
+	d.check(Check{Name: name, Held: err == nil && gap <= maxGap, Figure: float64(gap.Milliseconds()), Unit: "ms gap", Detail: detail})
+	return nil
+}
+
+func (d *demo) engineLoss(ctx context.Context) error {
+	const prompt = "write the dedication of the first tree"
+	killed := ""
+	a, err := d.complete(ctx, prompt, 0, func() error {
+		for _, e := range d.f.Engines {
+			if e.Stats().Running > 0 {
+				killed = e.Name
+				e.Crash("demo")
+			}
+		}
+		return nil
+	})
+	if err := d.whole("whole_answer_after_engine_loss", prompt, a, err, "engine "+killed+" died after a third of the output"); err != nil {
+		return err
+	}
+	for _, e := range d.f.Engines {
+		if !e.Stats().Alive {
+			if err := e.Start(); err != nil {
+				return eris.Wrap(err, "restart the engine")
+			}
+		}
+	}
+	return nil
+}
+
+func (d *demo) entryLoss(ctx context.Context) error {
+	const prompt = "write the dedication of the second tree"
+	a, err := d.complete(ctx, prompt, 0, func() error {
+		go d.f.KillDaemon(0)
+		return nil
+	})
+	if err := d.whole("whole_answer_after_entry_loss", prompt, a, err, "the caller's daemon died after a third of the output"); err != nil {
+		return err
+	}
+	_, err = d.f.AddDaemon(ctx)
+	return err
+}
+
+// post sends a non-idempotent call through the daemon with the given place.
+func (d *demo) post(ctx context.Context, daemon int, key, body string) (status int, reply string, err error) {
+	url := "http://" + d.f.Callers(daemon)[0] + "/services/" + fleet.Plain + "/tags"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.AccountKey(0))
+	req.Header.Set("Idempotency-Key", key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+func (d *demo) order(ctx context.Context) error {
+	const key, body = "order-1", `{"tree":"t-1"}`
+	before := d.runs()
+	for daemon := range 2 {
+		if _, _, err := d.post(ctx, daemon, key, body); err != nil {
+			return eris.Wrap(err, "send a registration")
+		}
+	}
+	runs := d.runs() - before
+	d.check(Check{Name: "registration_runs_once", Held: runs == 1, Figure: float64(runs), Unit: "runs",
+		Detail: "the same registration was sent through two daemons"})
+	return nil
+}
+
+// runs counts how often any call ran at the plain services.
+func (d *demo) runs() int {
+	n := 0
+	for _, s := range d.f.Plain {
+		for _, run := range s.Runs().All() {
+			n += run.Times
+		}
+	}
+	return n
+}
+
+func (d *demo) storeOutage(ctx context.Context) error {
+	if err := d.f.Store.SetFaults(standin.StoreFaults{Down: standin.DownRefuses}); err != nil {
+		return err
+	}
+	before := d.runs()
+	status, reply, err := d.post(ctx, 0, "order-2", `{"tree":"t-2"}`)
+	if err != nil {
+		return eris.Wrap(err, "send a registration")
+	}
+	var body struct {
+		Error struct {
+			Outcome string `json:"outcome"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(reply), &body) // no outcome is reported below
+	runs := d.runs() - before
+	d.check(Check{Name: "not_run_is_true_in_store_outage", Held: body.Error.Outcome == "not_run" && runs == 0, Figure: float64(runs), Unit: "runs",
+		Detail: fmt.Sprintf("status %d, outcome %q", status, body.Error.Outcome)})
+	if err := d.f.Store.SetFaults(standin.StoreFaults{}); err != nil {
+		return err
+	}
+	return nil
+}
