--- /dev/null
+++ b/rollout/types.go
@@ -0,0 +1,270 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/document"
+)
+
+// Phase is the state of a move.
+type Phase int
+
+const (
+	// PhaseNone means that there is no move.
+	PhaseNone Phase = iota
+	// PhaseProbing moves give the new version at most MaxProbeShare of the
+	// requests on average while it is examined.
+	PhaseProbing
+	// PhaseGrowing moves raise the share on the schedule.
+	PhaseGrowing
+	// PhaseDone moves are complete; the old version stays warm for a time.
+	PhaseDone
+	// PhaseTakenBack moves are rolled back until the document's versions change.
+	PhaseTakenBack
+)
+
+func (p Phase) String() string {
+	if p < PhaseNone || p > PhaseTakenBack {
+		return fmt.Sprintf("phase(%d)", int(p))
+	}
+	return [...]string{"none", "probing", "growing", "done", "rolled back"}[p]
+}
+
+// Sample is the outcome of one request at one upstream.
+type Sample struct {
+	Service, Version, Route, Upstream string
+	At                                time.Time
+	// Failed: the upstream answered with an error that is not the caller's.
+	Failed bool
+	// Crashed: the engine process died while the request ran.
+	Crashed bool
+	// Truncated: the answer ended before its end or its limit.
+	Truncated bool
+	// Empty: the answer ended regularly without a token.
+	Empty bool
+	// FirstToken and BetweenTokens (the mean over the answer) are 0 when they
+	// were not measured.
+	FirstToken, BetweenTokens time.Duration
+	// Load is the work in flight at the replica when the request was sent,
+	// relative to what the replica can hold (0 to 1, above 1 when overloaded).
+	Load float64
+	// Poison requests are suspected of crashing any version; they are no
+	// evidence.
+	Poison bool
+	// UpstreamLost: the replica became unreachable (VM, rack, data centre,
+	// network) while the request ran.
+	UpstreamLost bool
+}
+
+// Move is the record moves/SERVICE in the store.
+type Move struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	// DocRevision is the document's revision that the record answers to.
+	DocRevision uint64    `json:"doc_revision"`
+	Deadline    time.Time `json:"deadline"`
+	Phase       Phase     `json:"phase"`
+	// Share is the share of To when the record was written. Until the move is
+	// final, the share in force is ShareAt.
+	Share float64 `json:"share"`
+	// Owner is the daemon that wrote the record.
+	Owner string `json:"owner"`
+	// Fence rises by one with every write of the key.
+	Fence  uint64 `json:"fence"`
+	Reason string `json:"reason"`
+	// Since is when the phase began.
+	Since time.Time `json:"since"`
+	// Began is the fence of the record that began the move. It tells moves
+	// apart: alarms and windows name it.
+	Began uint64 `json:"began"`
+	// Started is when the move began; the schedule runs from Started to
+	// Deadline.
+	Started time.Time `json:"started"`
+	// Versions is the document's section that the record answers to.
+	Versions document.Versions `json:"versions"`
+	// Replicas is the number of old replicas when the move began. It fixes the
+	// share that is one replica's load for all daemons.
+	Replicas int `json:"replicas"`
+	// Examined: enough outcomes of the new version were seen. A move that is
+	// done without them keeps half of the requests on the old version until
+	// they are seen or the warm time ends.
+	Examined bool `json:"examined"`
+}
+
+// Key returns the store key of a service's move.
+func Key(service string) string { return "moves/" + service }
+
+// Encode returns the record's value in the store.
+func (m Move) Encode() ([]byte, error) { return json.Marshal(m) }
+
+// DecodeMove reads a record written by Encode.
+func DecodeMove(b []byte) (Move, error) {
+	var m Move
+	err := json.Unmarshal(b, &m)
+	return m, err
+}
+
+// Alarm is one daemon's verdict that a version is bad.
+type Alarm struct {
+	Service string
+	// To is the bad version and Began its move (Move.Began).
+	To     string
+	Began  uint64
+	Daemon string
+	At     time.Time
+	Route  string
+	Reason string
+}
+
+// Counts are outcomes of one version. They only rise.
+type Counts struct {
+	// N is the number of judged outcomes.
+	N, Failed, Crashed, Truncated, Empty uint32
+	// FirstN outcomes had their first-token time compared with the old
+	// version's quantile; SlowFirst exceeded it. Between likewise.
+	FirstN, SlowFirst, BetweenN, SlowBetween uint32
+}
+
+// Cell holds the outcomes of both versions on one route at one load level.
+type Cell struct {
+	Route    string
+	Level    uint8
+	Old, New Counts
+}
+
+// Window is what one daemon tells the owner: the running totals of the cells
+// that changed. Totals only rise, so merging takes the larger value; a window
+// that is repeated, late or out of order counts once.
+type Window struct {
+	Service string
+	Began   uint64
+	Daemon  string
+	// Incarnation differs between runs of one daemon, whose totals restart.
+	Incarnation uint64
+	Cells       []Cell
+}
+
+// Event is an input of a Mover.
+type Event interface{ isEvent() }
+
+// Accepted is a document in force and its revision. Revisions that do not rise
+// are ignored.
+type Accepted struct {
+	Service  *document.Service
+	Revision uint64
+}
+
+// Stored reports the record in the store: from a watch, a read, a peer that
+// read it, or a write that took effect. Index is its store index; 0 with a zero
+// Move means that the key does not exist. With Err, a write or read had no
+// certain result, whatever the cause, and the Mover reads the record back.
+type Stored struct {
+	Move  Move
+	Index uint64
+	Err   error
+}
+
+// Sampled is an outcome that this daemon saw itself.
+type Sampled struct{ Sample Sample }
+
+// Observed is a window of another daemon.
+type Observed struct{ Window Window }
+
+// PeerAlarm is an alarm of another daemon.
+type PeerAlarm struct{ Alarm Alarm }
+
+// OwnerElect names the daemon that owns the move. Daemons is the number of live
+// daemons (0 if unknown); it paces windows so that the owner's traffic stays
+// bounded.
+type OwnerElect struct {
+	Owner   string
+	Daemons int
+}
+
+// Tick tells the time.
+type Tick struct{}
+
+func (Accepted) isEvent()   {}
+func (Stored) isEvent()     {}
+func (Sampled) isEvent()    {}
+func (Observed) isEvent()   {}
+func (PeerAlarm) isEvent()  {}
+func (OwnerElect) isEvent() {}
+func (Tick) isEvent()       {}
+
+// Action is an output of a Mover.
+type Action interface{ isAction() }
+
+// WriteMove asks for a compare-and-swap of Key(Move.Service) at Index (0
+// creates the key). The result comes back as Stored.
+type WriteMove struct {
+	Move  Move
+	Index uint64
+}
+
+// ReadMove asks to read Key(Service). The result comes back as Stored.
+type ReadMove struct{ Service string }
+
+// Announce asks to send the alarm to all peers. It is repeated until the
+// rollback is recorded; peers must get the repeats.
+type Announce struct{ Alarm Alarm }
+
+// SendWindow asks to send the window to the owner.
+type SendWindow struct {
+	To     string
+	Window Window
+}
+
+// SetShare sets the share of new requests that the version gets at this daemon.
+// Replicas limits the version to the named upstreams; nil means all.
+type SetShare struct {
+	Service, Version string
+	Share            float64
+	Replicas         []string
+}
+
+// Explain reports a change in plain words for the log.
+type Explain struct{ Text string }
+
+func (WriteMove) isAction()  {}
+func (ReadMove) isAction()   {}
+func (Announce) isAction()   {}
+func (SendWindow) isAction() {}
+func (SetShare) isAction()   {}
+func (Explain) isAction()    {}
+
+// Report is the state of a move for operators.
+type Report struct {
+	Service, From, To string
+	Phase             Phase
+	// Share is the share of To at this daemon now.
+	Share    float64
+	Reason   string
+	Owner    string
+	Fence    uint64
+	Deadline time.Time
+	// GrowsAt and FinishesAt are the scheduled ends of probing and growing.
+	GrowsAt, FinishesAt time.Time
+	// WarmUntil is zero until the move is done.
+	WarmUntil time.Time
+	Alarm     *Alarm
+	// Merged is set when Routes holds the windows of all daemons (at the
+	// owner), and not only this daemon's samples.
+	Merged bool
+	Routes []RouteEvidence
+	// Text says the same in plain words.
+	Text string
+}
+
+// RouteEvidence is the evidence on one route; all load levels together.
+type RouteEvidence struct {
+	Route    string
+	Old, New Counts
+	// Test is the fault whose test is nearest to its bound, Score its
+	// log-likelihood ratio and Bound the value that gives a verdict.
+	Test         string
+	Score, Bound float64
+}
