rollout: add the Mover

A move is one record that the owner writes by compare-and-swap. The share of the new version is a function of the record and the time, so that a move meets its deadline without its owner and without the store. Each daemon judges the new version on its own samples by a sequential test, the owner on merged windows; a verdict is an alarm that daemons pass on without the store.

--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,308 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// crashGap is the time in which the crashes of one upstream count once: one
+	// crash fails all requests in flight, which are not independent outcomes.
+	crashGap = 2 * time.Second
+
+	ringSize  = 128
+	ringReady = 20
+	// ringRenew is the number of outcomes after which the quantile is computed
+	// again.
+	ringRenew = 16
+	// slowFactor is the slowdown that a version may have beyond the quantile; it
+	// leaves room for differences of load within a level. slowFirstSlack covers the way to
+	// a replica in another data centre of the region.
+	slowFactor     = 1.25
+	slowFirstSlack = 5 * time.Millisecond
+
+	// maxRoutes bounds the routes that are judged apart; later ones share one.
+	maxRoutes   = 16
+	otherRoutes = "(other)"
+
+	// A death of the new version is explained by one of the old version within
+	// deathNear, and deaths within deathCluster are one.
+	deathNear    = 15 * time.Second
+	deathCluster = 10 * time.Second
+	// minDeaths deaths of the new version that are not explained, and a chance
+	// below deathChance that they fell on it by the number of its requests, make
+	// it bad. One death, or two, never do.
+	minDeaths   = 3
+	deathChance = 1e-5
+	// loopDeaths deaths of one replica within loopWithin are a crash loop.
+	loopDeaths = 3
+	loopWithin = 10 * time.Minute
+	maxDeaths  = 64
+)
+
+// levelEnds are the load levels' upper ends; the last level has none. Outcomes
+// are compared at a like level, which is narrow enough that the load within it
+// changes latencies by less than slowFactor.
+var levelEnds = [...]float64{0.3, 0.5, 0.65, 0.8, 1}
+
+const levels = len(levelEnds) + 1
+
+func level(load float64) uint8 {
+	for i, end := range levelEnds {
+		if load < end {
+			return uint8(i)
+		}
+	}
+	return uint8(levels - 1)
+}
+
+// ring holds the last latencies of the old version and their quantile.
+type ring struct {
+	v     [ringSize]time.Duration
+	n     int
+	limit time.Duration
+}
+
+func (r *ring) add(d time.Duration) {
+	r.v[r.n%ringSize] = d
+	r.n++
+	if r.n >= ringReady && (r.n%ringRenew == 0 || r.n == ringReady) {
+		var buf [ringSize]time.Duration
+		b := buf[:min(r.n, ringSize)]
+		copy(b, r.v[:len(b)])
+		slices.Sort(b)
+		r.limit = b[int(slowQuantile*float64(len(b)-1))]
+	}
+}
+
+func (r *ring) ready() bool { return r.n >= ringReady }
+
+// latencies are the rings of one route and level of one version.
+type latencies struct{ first, between ring }
+
+type cell struct {
+	old, new Counts
+	dirty    bool
+}
+
+type death struct {
+	at       time.Time
+	upstream string
+	new      bool
+}
+
+// evidence is what this daemon knows about a move's versions.
+type evidence struct {
+	// cells are this daemon's running totals, own its tests on them.
+	cells map[cellKey]*cell
+	own   *tester
+	// dirty tells that some cell changed since it was sent.
+	dirty bool
+	// merged are the tests on the outcomes of all daemons that sent windows to
+	// this one; sources holds the totals that were counted from each.
+	merged  *tester
+	sources map[source]*totals
+	routes  map[string]bool
+
+	crashed map[string]time.Time
+	// lost tells since when upstreams are lost; an answer to a later request
+	// ends it.
+	lost   map[string]time.Time
+	deaths []death
+}
+
+type source struct {
+	daemon      string
+	incarnation uint64
+}
+
+const (
+	maxSources = 1024
+	maxCells   = (maxRoutes + 1) * levels
+)
+
+func newEvidence() *evidence {
+	return &evidence{
+		cells: map[cellKey]*cell{}, own: newTester(), merged: newTester(),
+		sources: map[source]*totals{}, routes: map[string]bool{},
+		crashed: map[string]time.Time{}, lost: map[string]time.Time{},
+	}
+}
+
+func (e *evidence) route(r string) string {
+	if !e.routes[r] {
+		if len(e.routes) >= maxRoutes {
+			return otherRoutes
+		}
+		e.routes[r] = true
+	}
+	return r
+}
+
+// count adds an own outcome and returns a verdict, if there is one.
+func (e *evidence) count(k cellKey, old, neu Counts) (finding, bool) {
+	c := e.cells[k]
+	if c == nil {
+		c = &cell{}
+		e.cells[k] = c
+	}
+	c.old, c.new, c.dirty = c.old.plus(old), c.new.plus(neu), true
+	e.dirty = true
+	f, bad := e.own.add(k.route, k.level, old, neu, 0)
+	if g, also := e.merged.add(k.route, k.level, old, neu, 0); also && !bad {
+		return g, true
+	}
+	return f, bad
+}
+
+// totals are what a daemon's windows told.
+type totals struct {
+	cells map[cellKey]*cell
+	at    time.Time
+}
+
+// lateWindow is the pause after which the next window of a daemon covers too
+// long a time to count as one window.
+const lateWindow = 15 * time.Second
+
+// merge adds the part of a peer's totals that is new and returns a verdict, if
+// there is one. share is the new version's share now.
+//
+// The first window of a daemon, and one after a pause, cover a time in which the
+// share has grown. Counting all of the old version's outcomes of that time as
+// control group would hide a short fault of both versions that came when most
+// requests went to the new one. The control group is then as large as the
+// present share makes it.
+func (e *evidence) merge(now time.Time, w Window, share float64) (finding, bool) {
+	src := source{w.Daemon, w.Incarnation}
+	t := e.sources[src]
+	if t == nil {
+		if len(e.sources) >= maxSources {
+			return finding{}, false
+		}
+		t = &totals{cells: map[cellKey]*cell{}}
+		e.sources[src] = t
+	}
+	control := 0.0
+	if now.Sub(t.at) > lateWindow {
+		control = max(1-share, 0.01) / max(share, 0.01)
+	}
+	t.at = now
+	var verdict finding
+	found := false
+	for _, wc := range w.Cells {
+		k := cellKey{e.route(wc.Route), wc.Level}
+		c := t.cells[k]
+		if c == nil {
+			if len(t.cells) >= maxCells || int(wc.Level) >= levels {
+				continue
+			}
+			c = &cell{}
+			t.cells[k] = c
+		}
+		old, neu := c.old.max(wc.Old), c.new.max(wc.New)
+		f, bad := e.merged.add(k.route, k.level, old.minus(c.old), neu.minus(c.new), control)
+		c.old, c.new = old, neu
+		if bad && !found {
+			verdict, found = f, true
+		}
+	}
+	return verdict, found
+}
+
+// repeatedCrash tells whether a crash of the upstream was counted just before.
+func (e *evidence) repeatedCrash(upstream string, at time.Time) bool {
+	last, seen := e.crashed[upstream]
+	if seen && at.Sub(last) < crashGap {
+		return true
+	}
+	e.crashed[upstream] = at
+	return false
+}
+
+// upstreamLost counts a death when the upstream had answered since its last one.
+func (e *evidence) upstreamLost(upstream string, at time.Time, isNew bool) {
+	if _, lost := e.lost[upstream]; lost {
+		return
+	}
+	e.lost[upstream] = at
+	if len(e.deaths) >= maxDeaths {
+		e.deaths = e.deaths[1:]
+	}
+	e.deaths = append(e.deaths, death{at, upstream, isNew})
+}
+
+// answered notes an answer to a request that was sent at the given time.
+func (e *evidence) answered(upstream string, sent time.Time) {
+	if at, lost := e.lost[upstream]; lost && sent.After(at) {
+		delete(e.lost, upstream)
+	}
+}
+
+// deathVerdict tells whether the deaths of replicas speak against the new
+// version.
+func (e *evidence) deathVerdict() (upstreamDeaths int, bad bool) {
+	var newDeaths, oldDeaths int
+	var lastNew, lastOld time.Time
+	perUpstream := map[string][]time.Time{}
+	for i, d := range e.deaths {
+		if !d.new {
+			if lastOld.IsZero() || d.at.Sub(lastOld) > deathCluster {
+				oldDeaths++
+			}
+			lastOld = d.at
+			continue
+		}
+		if e.explained(i) {
+			continue
+		}
+		ts := append(perUpstream[d.upstream], d.at)
+		perUpstream[d.upstream] = ts
+		if len(ts) >= loopDeaths && d.at.Sub(ts[len(ts)-loopDeaths]) <= loopWithin {
+			return len(ts), true
+		}
+		if lastNew.IsZero() || d.at.Sub(lastNew) > deathCluster {
+			newDeaths++
+		}
+		lastNew = d.at
+	}
+	if newDeaths < minDeaths {
+		return newDeaths, false
+	}
+	var n Counts
+	var o Counts
+	for _, c := range e.cells {
+		n, o = n.plus(c.new), o.plus(c.old)
+	}
+	q := (float64(n.N) + 1) / (float64(n.N) + float64(o.N) + 2)
+	return newDeaths, binomialTail(newDeaths, newDeaths+oldDeaths, q) < deathChance
+}
+
+func (e *evidence) explained(i int) bool {
+	for _, d := range e.deaths {
+		if !d.new && d.at.Sub(e.deaths[i].at).Abs() <= deathNear {
+			return true
+		}
+	}
+	return false
+}
+
+// binomialTail is the chance of at least k successes of n with chance q each.
+func binomialTail(k, n int, q float64) float64 {
+	sum := 0.0
+	for i := k; i <= n; i++ {
+		lg := func(x int) float64 { v, _ := math.Lgamma(float64(x) + 1); return v }
+		sum += math.Exp(lg(n) - lg(i) - lg(n-i) + float64(i)*math.Log(q) + float64(n-i)*math.Log1p(-q))
+	}
+	return sum
+}
+
+// limits are the slow limits of one route and level.
+func (l *latencies) firstSlow(d time.Duration) bool {
+	return d > time.Duration(slowFactor*float64(l.first.limit))+slowFirstSlack
+}
+
+func (l *latencies) betweenSlow(d time.Duration) bool {
+	return d > time.Duration(slowFactor*float64(l.between.limit))
+}
--- /dev/null
+++ b/rollout/status.go
@@ -0,0 +1,122 @@
+package rollout
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Status returns the state of the move at the time of the last Step.
+func (m *Mover) Status() Report {
+	r := Report{Service: m.o.Service, Merged: m.owner == m.self}
+	if m.doc == nil {
+		r.Text = "no document is in force"
+		return r
+	}
+	from, to, share := m.share()
+	r.From, r.To, r.Share, r.Phase = from, to, share, m.phase()
+	r.Owner, r.Fence = m.owner, m.rec.Fence
+	if !m.matches() {
+		r.Deadline = m.doc.Versions.Deadline
+		r.Text, r.Reason = m.idleText()
+		return r
+	}
+	r.Reason, r.Deadline = m.rec.Reason, m.rec.Deadline
+	r.GrowsAt, r.FinishesAt = m.rec.GrowsAt(), m.rec.FinishesAt()
+	if m.alarm.Began != 0 && m.alarm.Began == m.rec.Began {
+		a := m.alarm
+		r.Alarm = &a
+		if m.rec.Phase != PhaseTakenBack {
+			r.Reason = a.Reason + " (seen by " + a.Daemon + ")"
+		}
+	}
+	if r.Phase == PhaseDone {
+		r.WarmUntil = m.rec.WarmUntil()
+	}
+	r.Routes = m.routeEvidence()
+	r.Text = m.text(r)
+	return r
+}
+
+func (m *Mover) idleText() (text, reason string) {
+	v := m.doc.Versions
+	switch {
+	case v.Next == "":
+		return fmt.Sprintf("All requests go to %s. The document asks for no other version.", v.Serving), ""
+	case len(m.replicas(v.Next)) == 0:
+		reason = fmt.Sprintf("no replica runs %s", v.Next)
+		return fmt.Sprintf("The move from %s to %s has not begun: %s.", v.Serving, v.Next, reason), reason
+	}
+	reason = "the owner has not written the record yet"
+	return fmt.Sprintf("The move from %s to %s has not begun: %s.", v.Serving, v.Next, reason), reason
+}
+
+func (m *Mover) text(r Report) string {
+	var b strings.Builder
+	at := func(t time.Time) string { return t.UTC().Format(time.RFC3339) }
+	switch r.Phase {
+	case PhaseProbing:
+		fmt.Fprintf(&b, "%s is being examined on %.1f%% of the requests; its share grows from %s and is full at %s.",
+			r.To, 100*r.Share, at(r.GrowsAt), at(r.FinishesAt))
+	case PhaseGrowing:
+		fmt.Fprintf(&b, "%s gets %.0f%% of the requests; its share is full at %s.", r.To, 100*r.Share, at(r.FinishesAt))
+	case PhaseDone:
+		fmt.Fprintf(&b, "The move from %s to %s is done (%s).", r.From, r.To, r.Reason)
+		switch {
+		case m.now.Before(r.WarmUntil) && r.Share < 1:
+			fmt.Fprintf(&b, " It gets %.0f%% of the requests until it is examined; %s stays ready until %s.", 100*r.Share, r.From, at(r.WarmUntil))
+		case m.now.Before(r.WarmUntil):
+			fmt.Fprintf(&b, " %s stays ready until %s.", r.From, at(r.WarmUntil))
+		}
+	case PhaseTakenBack:
+		fmt.Fprintf(&b, "%s gets no requests: %s. It is tried again when the versions in the document change.", r.To, r.Reason)
+	}
+	if r.Phase != PhaseTakenBack && len(m.replicas(r.To)) == 0 {
+		fmt.Fprintf(&b, " No replica runs %s; without one by %s the move is rolled back.", r.To, at(r.Deadline))
+	}
+	if len(m.replicas(r.From)) == 0 {
+		fmt.Fprintf(&b, " No replica runs %s, so it cannot be gone back to.", r.From)
+	}
+	var n uint32
+	for _, e := range r.Routes {
+		n += e.New.N
+	}
+	if r.Phase != PhaseTakenBack && n < examinedMin {
+		fmt.Fprintf(&b, " So far %d of its answers were seen, too few to judge.", n)
+	}
+	return b.String()
+}
+
+// routeEvidence adds up the own cells and those of the daemons that sent
+// windows.
+func (m *Mover) routeEvidence() []RouteEvidence {
+	byRoute := map[string]*RouteEvidence{}
+	add := func(k cellKey, c *cell) {
+		e := byRoute[k.route]
+		if e == nil {
+			e = &RouteEvidence{Route: k.route}
+			byRoute[k.route] = e
+		}
+		e.Old, e.New = e.Old.plus(c.old), e.New.plus(c.new)
+	}
+	for k, c := range m.ev.cells {
+		add(k, c)
+	}
+	for _, t := range m.ev.sources {
+		for k, c := range t.cells {
+			add(k, c)
+		}
+	}
+	out := make([]RouteEvidence, 0, len(byRoute))
+	for _, e := range byRoute {
+		for _, t := range []*tester{m.ev.own, m.ev.merged} {
+			if f, ok := t.nearest(e.Route); ok && (e.Test == "" || f.seq.score/f.seq.bound() > e.Score/e.Bound) {
+				e.Test, e.Score, e.Bound = f.kind.String(), f.seq.score, f.seq.bound()
+			}
+		}
+		out = append(out, *e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Route < out[j].Route })
+	return out
+}
--- a/rollout/types.go
+++ b/rollout/types.go
@@ -184,6 +184,11 @@
 	Daemons int
 }
 
+// Usable names the upstreams that can take work now; without it, and with nil,
+// all upstreams of the document that are not leaving can. It only steers the
+// choice of replicas for a small share.
+type Usable struct{ Upstreams []string }
+
 // Tick tells the time.
 type Tick struct{}
 
@@ -193,6 +198,7 @@
 func (Observed) isEvent()   {}
 func (PeerAlarm) isEvent()  {}
 func (OwnerElect) isEvent() {}
+func (Usable) isEvent()     {}
 func (Tick) isEvent()       {}
 
 // Action is an output of a Mover.
