--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -206,6 +206,7 @@
 		Logger:         log,
 		Seed:           n,
 		HeldBytes:      s.Memory.HeldBytes,
+		Report:         reporter{loop}.generation,
 		Tracer:         otel.GetTracerProvider(),
 	}), nil
 }
@@ -231,6 +232,7 @@
 		Daemon:       s.Daemon.Name,
 		Logger:       log,
 		StoreTimeout: s.Store.Timeout,
+		OnResult:     reporter{loop}.plain,
 		Tracer:       otel.GetTracerProvider(),
 	}), nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,9 @@
 	Service, Version, Route, Upstream, Account string
 	// Outcome is one of the constants below.
 	Outcome string
-	At      time.Time
+	// Status is the engine's answer when the outcome is OutcomeRefused.
+	Status int
+	At     time.Time
 	// FirstToken is the time from Start to the first token, zero if none came
 	// or the attempt began elsewhere.
 	FirstToken time.Duration
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -72,12 +72,12 @@
 	started     time.Time // zero when it began elsewhere
 	first, last time.Time
 	tokens      int
-	refused     bool
+	status      int // of the engine's refusal, 0 if it did not refuse
 }
 
 // outcome is that of an attempt that another one follows.
 func (t *try) outcome() string {
-	if t.refused {
+	if t.status != 0 {
 		return OutcomeRefused
 	}
 	return OutcomeLost
@@ -236,7 +236,7 @@
 		Service: g.call.view.Doc.Name, Version: t.version, Route: string(g.call.route), Upstream: t.upstream,
 		Account: g.call.account, Outcome: outcome, At: g.e.o.Now(), Tokens: t.tokens, BodyHash: g.call.bodyHash,
 		Truncated: outcome == OutcomeLost && t.tokens > 0, Empty: outcome == OutcomeComplete && t.tokens == 0 && !t.started.IsZero(),
-		UpstreamLost: outcome == OutcomeLost,
+		UpstreamLost: outcome == OutcomeLost, Status: t.status,
 	}
 	if !t.started.IsZero() && !t.first.IsZero() {
 		r.FirstToken = t.first.Sub(t.started)
@@ -312,7 +312,7 @@
 		}
 	case recovery.Refused:
 		if t := g.tries[ev.Attempt]; t != nil {
-			t.refused = true
+			t.status = ev.Status
 		}
 	}
 	g.step(ev)
@@ -595,7 +595,7 @@
 	for _, t := range g.tries {
 		number, _, _ := g.machine.Attempt()
 		switch {
-		case t.number != number || t.refused:
+		case t.number != number || t.status != 0:
 			g.end(t, t.outcome())
 		case g.gone:
 			g.end(t, OutcomeCancelled)
