scenario: add whole sessions of separate processes as scripts

Scripts start daemons and stand-ins as processes, kill, freeze and terminate them, and compare what callers and operators saw with golden text. Bounds are those of the promises (4 s, 3 s, 9 s).

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,7 +18,7 @@
 func init() { register(serveCommand) }
 
 func serveCommand(app *kingpin.Application) map[string]func(env) error {
-	cmd := app.Command("serve", "Run a daemon. SIGTERM drains it; a second SIGTERM hands running streams over at once.")
+	cmd := app.Command("serve", "Run a daemon. Prints one JSON line with its addresses when it serves. SIGTERM drains it; a second SIGTERM hands running streams over at once.")
 	config := cmd.Flag("config", "Settings file.").Required().String()
 	print := cmd.Flag("print-config", "Print the effective settings and exit.").Bool()
 	return map[string]func(env) error{cmd.FullCommand(): func(e env) error {
@@ -56,6 +58,11 @@
 	if err := d.Start(e.ctx); err != nil {
 		return err
 	}
+	ready, err := json.Marshal(map[string]string{"caller": d.CallerAddress(), "operator": d.OperatorAddress(), "peer": d.PeerAddress()})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(e.stdout, string(ready))
 	select {
 	case <-signals:
 	case <-e.ctx.Done():
--- /dev/null
+++ b/scenario/commands_test.go
@@ -0,0 +1,384 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/gooseberryroad/gooseberryroad/client"
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/standin"
+)
+
+// Bounds of the promises, as stated by the users. They are never widened to a
+// measured figure.
+const (
+	maxGap     = 4 * time.Second // output goes on after a loss
+	maxLeaving = 3 * time.Second // a leaving upstream gets no new work
+	maxConfig  = 9 * time.Second // a document is in force everywhere
+)
+
+// Keys that the scripts' settings and documents use.
+const (
+	teamKey    = "team-key"
+	accountKey = "account-key"
+	model      = "dedication-7b"
+)
+
+func lookPath(path string) (string, error) {
+	for _, dir := range filepath.SplitList(path) {
+		p := filepath.Join(dir, "gooseberryroad")
+		if info, err := os.Stat(p); err == nil && !info.IsDir() {
+			return p, nil
+		}
+	}
+	return "", errors.New("the command gooseberryroad is not in the script's path")
+}
+
+func need(ts *testscript.TestScript, neg bool, args []string, n int, usage string) {
+	if neg || len(args) < n {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+// start NAME KIND [FLAG...] starts a stand-in.
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "start NAME KIND [FLAG...]")
+	flags := []string{"standin", args[1]}
+	if args[1] == "engine" {
+		flags = append(flags, "--model", model)
+	}
+	of(ts).start(ts, args[0], append(flags, args[2:]...)...)
+}
+
+// daemon NAME DATACENTRE [SECTION.KEY=VALUE...] starts a daemon that uses the
+// store named "store" and every daemon started before as a seed.
+func cmdDaemon(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "daemon NAME DATACENTRE [SECTION.KEY=VALUE...]")
+	s := of(ts)
+	var seeds []string
+	for _, p := range s.processes {
+		if a := p.ready["peer"]; a != "" {
+			seeds = append(seeds, a)
+		}
+	}
+	sort.Strings(seeds)
+	text := fmt.Sprintf(`[daemon]
+name = %s
+datacentre = %s
+region = rio-plata
+caller_address = 127.0.0.1:0
+operator_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+[store]
+address = %s
+[peers]
+seeds = %s
+key = key of the peers in scripts
+[cursor]
+key = key of the cursors in scripts
+[drain]
+notice = 100ms
+[log]
+level = error
+[team.registro]
+key_sha256 = %s
+`, args[0], args[1], s.process(ts, "store").ready["address"], strings.Join(seeds, ","), document.HashKey(teamKey))
+	for _, a := range args[2:] {
+		where, value, _ := strings.Cut(a, "=")
+		section, key, _ := strings.Cut(where, ".")
+		text += fmt.Sprintf("[%s]\n%s = %s\n", section, key, value)
+	}
+	file := ts.MkAbs(args[0] + ".settings.ini")
+	ts.Check(os.WriteFile(file, []byte(text), 0o600))
+	s.start(ts, args[0], "serve", "--config", file)
+}
+
+// sigkill NAME sends SIGKILL and waits for the end.
+func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "sigkill NAME")
+	p := of(ts).process(ts, args[0])
+	ts.Check(p.cmd.Process.Kill())
+	<-p.done
+}
+
+func cmdSignal(sig syscall.Signal) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		need(ts, neg, args, 1, "COMMAND NAME")
+		ts.Check(of(ts).process(ts, args[0]).cmd.Process.Signal(sig))
+	}
+}
+
+// await NAME waits until a process has ended by itself.
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "await NAME")
+	select {
+	case <-of(ts).process(ts, args[0]).done:
+	case <-time.After(readyTimeout):
+		ts.Fatalf("%s still runs after %v", args[0], readyTimeout)
+	}
+}
+
+// fault NAME PATH [JSON] posts to the control of a stand-in.
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "fault NAME PATH [JSON]")
+	body := ""
+	if len(args) > 2 {
+		body = args[2]
+	}
+	url := "http://" + of(ts).process(ts, args[0]).ready["control"] + "/control/" + args[1]
+	status, reply := do(ts, http.MethodPost, url, body, nil)
+	if status/100 != 2 {
+		ts.Fatalf("fault %v: status %d: %s", args, status, reply)
+	}
+}
+
+func do(ts *testscript.TestScript, method, url, body string, header map[string]string) (int, string) {
+	req, err := http.NewRequestWithContext(of(ts).ctx, method, url, bytes.NewBufferString(body))
+	ts.Check(err)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	ts.Check(err)
+	return res.StatusCode, string(b)
+}
+
+// apply DAEMON SERVICE FILE REVISION puts a document. The file may use
+// environment variables such as ${e1_address}. REVISION is 0 to create, or
+// "current". It prints the status and, for a refusal, its code.
+func cmdApply(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 4, "apply DAEMON SERVICE FILE REVISION")
+	s := of(ts)
+	text := os.Expand(ts.ReadFile(args[2]), ts.Getenv)
+	revision := args[3]
+	if revision == "current" {
+		revision = strconv.FormatUint(s.revision(ts, args[0], args[1]), 10)
+	}
+	status, reply := do(ts, http.MethodPut, "http://"+s.process(ts, args[0]).ready["operator"]+"/v1/services/"+args[1], text,
+		map[string]string{"Authorization": "Bearer " + teamKey, "If-Match": revision})
+	var refusal struct {
+		Error struct{ Code string } `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(reply), &refusal) // an accepted change has no error
+	line := fmt.Sprintf("status %d", status)
+	if refusal.Error.Code != "" {
+		line += " " + refusal.Error.Code
+	}
+	fmt.Fprintln(ts.Stdout(), line)
+}
+
+// revision is the revision of a service in force at a daemon, 0 without one.
+func (s *session) revision(ts *testscript.TestScript, daemon, service string) uint64 {
+	status, reply := do(ts, http.MethodGet, "http://"+s.process(ts, daemon).ready["operator"]+"/v1/services", "", nil)
+	if status != http.StatusOK {
+		return 0
+	}
+	var body struct {
+		Services []struct {
+			Name     string `json:"name"`
+			Revision uint64 `json:"revision"`
+		} `json:"services"`
+	}
+	ts.Check(json.Unmarshal([]byte(reply), &body))
+	for _, v := range body.Services {
+		if v.Name == service {
+			return v.Revision
+		}
+	}
+	return 0
+}
+
+// inforce SERVICE DAEMON... waits until all daemons have the revision of the
+// first one in force, and fails after the bound of a change.
+func cmdInForce(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "inforce SERVICE DAEMON...")
+	s := of(ts)
+	deadline := time.Now().Add(maxConfig)
+	for {
+		want := s.revision(ts, args[1], args[0])
+		same := want > 0
+		for _, d := range args[2:] {
+			same = same && s.revision(ts, d, args[0]) == want
+		}
+		if same {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s is not in force everywhere after %v", args[0], maxConfig)
+		}
+		pause(s.ctx, 10*time.Millisecond)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// send NAME TOKENS DAEMON[,DAEMON...] PROMPT starts a streamed request. The
+// caller goes to the daemons in this order when its connection breaks.
+func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 4, "send NAME TOKENS DAEMON[,DAEMON...] PROMPT")
+	s := of(ts)
+	tokens, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	var addresses []string
+	for _, d := range strings.Split(args[2], ",") {
+		addresses = append(addresses, s.process(ts, d).ready["caller"])
+	}
+	r := &request{prompt: args[3], tokens: tokens, moved: make(chan struct{}), done: make(chan struct{})}
+	s.requests[args[0]] = r
+	c := client.New(client.Options{Addresses: addresses, Key: accountKey, HoldText: true, OnToken: r.token})
+	go func() {
+		defer close(r.done)
+		defer c.Close()
+		r.answer, r.err = c.Complete(s.ctx, client.Request{Model: model, Prompt: r.prompt, MaxTokens: tokens})
+	}()
+}
+
+// reached NAME N waits until the request has received N tokens.
+func cmdReached(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "reached NAME N")
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(of(ts).ctx, readyTimeout)
+	defer cancel()
+	ts.Check(of(ts).request(ts, args[0]).waitFor(ctx, n))
+}
+
+// answer NAME waits for the end of a request and prints what the caller holds,
+// token by token in sum.
+func cmdAnswer(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "answer NAME")
+	r := of(ts).request(ts, args[0])
+	<-r.done
+	var refusal *client.Refusal
+	if errors.As(r.err, &refusal) {
+		fmt.Fprintf(ts.Stdout(), "refused %d %s %s\n", refusal.Status, refusal.Code, refusal.Outcome)
+		return
+	}
+	if r.err != nil {
+		fmt.Fprintf(ts.Stdout(), "failed\n")
+		ts.Logf("%s: %v", args[0], r.err)
+		return
+	}
+	report := standin.CheckAnswer(r.answer.Text, standin.Answer{Model: model, Prompt: r.prompt, Versions: []string{"v1", "v2"}, Tokens: r.tokens})
+	fmt.Fprintf(ts.Stdout(), "%d tokens of %s; missing %d, repeated %d, foreign %d; finish %s; reconnected %t; output within %v: %t\n",
+		report.Tokens, report.Version, report.Missing, report.Repeated, report.OtherPrompt+report.OtherVersion+report.Wrong,
+		r.answer.Finish, r.answer.Reconnects > 0, maxGap, longest(r.answer.Gaps) <= maxGap)
+}
+
+func longest(ds []time.Duration) time.Duration {
+	var d time.Duration
+	for _, x := range ds {
+		d = max(d, x)
+	}
+	return d
+}
+
+// serving NAME... sets $serving to the one of the engines that runs a request.
+func cmdServing(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "serving NAME...")
+	for _, name := range args {
+		var stats standin.EngineStats
+		p := of(ts).process(ts, name)
+		if status, reply := do(ts, http.MethodGet, "http://"+p.ready["control"]+"/control/stats", "", nil); status == http.StatusOK {
+			ts.Check(json.Unmarshal([]byte(reply), &stats))
+		}
+		if stats.Running > 0 {
+			ts.Setenv("serving", name)
+			return
+		}
+	}
+	ts.Fatalf("none of %v runs a request", args)
+}
+
+// post DAEMON PATH KEY BODY sends a non-idempotent call and prints its answer.
+func cmdPost(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 4, "post DAEMON PATH KEY BODY")
+	header := map[string]string{"Authorization": "Bearer " + accountKey}
+	if args[2] != "-" {
+		header["Idempotency-Key"] = args[2]
+	}
+	status, reply := do(ts, http.MethodPost, "http://"+of(ts).process(ts, args[0]).ready["caller"]+args[1], args[3], header)
+	var refusal struct {
+		Error struct{ Code, Outcome string } `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(reply), &refusal) // an upstream's answer has no error
+	line := fmt.Sprintf("status %d", status)
+	if refusal.Error.Code != "" {
+		line += " " + refusal.Error.Code + " " + refusal.Error.Outcome
+	}
+	fmt.Fprintln(ts.Stdout(), line)
+}
+
+// runs NAME... prints how often each non-idempotent call ran at the plain
+// services together.
+func cmdRuns(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "runs NAME...")
+	total := map[string]int{}
+	for _, name := range args {
+		status, reply := do(ts, http.MethodGet, "http://"+of(ts).process(ts, name).ready["control"]+"/control/stats", "", nil)
+		if status != http.StatusOK {
+			ts.Fatalf("stats of %s: status %d", name, status)
+		}
+		var body struct {
+			Runs []standin.Run `json:"runs"`
+		}
+		ts.Check(json.Unmarshal([]byte(reply), &body))
+		for _, r := range body.Runs {
+			if r.Method != http.MethodPost {
+				continue
+			}
+			total[r.Method+" "+r.Path+" "+r.Key] += r.Times
+		}
+	}
+	var lines []string
+	for call, n := range total {
+		lines = append(lines, fmt.Sprintf("%s: %d", call, n))
+	}
+	sort.Strings(lines)
+	for _, l := range lines {
+		fmt.Fprintln(ts.Stdout(), l)
+	}
+}
+
+// notready DAEMON waits until the daemon reports that it is not ready.
+func cmdNotReady(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "notready DAEMON")
+	s := of(ts)
+	deadline := time.Now().Add(maxLeaving)
+	for {
+		status, _ := do(ts, http.MethodGet, "http://"+s.process(ts, args[0]).ready["operator"]+"/readyz", "", nil)
+		if status != http.StatusOK {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s is still ready", args[0])
+		}
+		pause(s.ctx, 5*time.Millisecond)
+	}
+}
