Add membership, the exchange between daemons and its transport

Configuration must be in force everywhere within 9 s although only two daemons per data centre watch the store, and must reach daemons that the store cannot.

- membership elects watchers, chooses links and judges daemons from heartbeats.
Pure rendezvous hashing was ruled out for all links: with 6 daemons in 6 data centres it can give two triangles.
One link inside and one outside follow a ring of names, which keeps the graph connected.
- node exchanges digests.
News are announced at once and fetched from the first peer that announces them; a hash in every digest finds what was lost.
Fleet-wide heartbeats are bounded to 14 a second.
- The simulation found that a data centre stayed without a watcher for good once all of its daemons had lost the store and only a daemon that was not elected reached it again.
A daemon that lost the store now tries it until a call succeeds.
- The simulation also showed a revision that nobody holds any more: a writer outside the API replaced it with a value that does not parse, before a living daemon saw it.
The check expects what a living daemon or the store holds.
- peer carries the messages over yamux after a keyed challenge.

--- a/control/loop.go
+++ b/control/loop.go
@@ -33,7 +33,11 @@
 	VMs vmlist.Lister
 	// Engine returns the client for a driver.
 	Engine func(driver string) (engine.Client, error)
-	Logger *slog.Logger
+	// Peers carries messages to other daemons; nil for a daemon alone.
+	Peers Peers
+	// Received handles notices and direct messages of peers; it must not block.
+	Received func(node.Received)
+	Logger   *slog.Logger
 	// Metrics receives the loop's counters; nil means a private set.
 	Metrics *metrics.Set
 
@@ -56,6 +60,13 @@
 	Ticks <-chan time.Time
 }
 
+// Peers is the transport between daemons. Its methods do not block.
+type Peers interface {
+	Link(node.LinkPeer)
+	Unlink(peer string)
+	Send(to string, m node.Msg) bool
+}
+
 // Loop runs the node of one daemon.
 type Loop struct {
 	o      Options
@@ -199,6 +210,22 @@
 			w.stop()
 			delete(l.watches, a.Prefix)
 		}
+	case node.LinkPeer:
+		if l.o.Peers != nil {
+			l.o.Peers.Link(a)
+		}
+	case node.UnlinkPeer:
+		if l.o.Peers != nil {
+			l.o.Peers.Unlink(a.Peer)
+		}
+	case node.SendPeer:
+		if l.o.Peers != nil {
+			l.o.Peers.Send(a.To, a.Msg)
+		}
+	case node.Received:
+		if l.o.Received != nil {
+			l.o.Received(a)
+		}
 	case node.WriteStore:
 		l.spawn(func() { l.write(ctx, a) })
 	case node.PollLoad:
--- a/membership/upstreams.go
+++ b/membership/upstreams.go
@@ -320,6 +320,23 @@
 	return up.load, up.incarnation, up.reportedAt
 }
 
+// Marks returns what a new peer must learn: the marks of current incarnations.
+func (u *Upstreams) Marks() []Mark {
+	var out []Mark
+	for _, addr := range u.Addresses() {
+		up := u.byAddr[addr]
+		if m := up.marks[up.incarnation]; m != nil {
+			if m.leaving {
+				out = append(out, Mark{Address: addr, Incarnation: up.incarnation, State: UpstreamLeaving})
+			}
+			if m.dead {
+				out = append(out, Mark{Address: addr, Incarnation: up.incarnation, State: UpstreamDead})
+			}
+		}
+	}
+	return out
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/node/events.go
+++ b/node/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/membership"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/vmlist"
 )
@@ -143,3 +144,61 @@
 func (PollLoad) action()     {}
 func (ListVMs) action()      {}
 func (Explain) action()      {}
+
+// PeerUp reports a link to a daemon, opened by either side. Peer is what the
+// daemon said about itself in the handshake.
+type PeerUp struct {
+	Peer membership.Member
+	// Dialed is set when this daemon opened the link.
+	Dialed bool
+}
+
+// PeerDown reports that no link to a daemon is left.
+type PeerDown struct{ Peer string }
+
+// LinkFailed reports that a daemon asked for by LinkPeer could not be reached.
+type LinkFailed struct{ Peer string }
+
+// PeerMessage is a message from a linked daemon.
+type PeerMessage struct {
+	From string
+	Msg  Msg
+}
+
+// Publish passes a notice of this daemon to all others.
+type Publish struct{ Notice Notice }
+
+func (PeerUp) event()      {}
+func (PeerDown) event()    {}
+func (LinkFailed) event()  {}
+func (PeerMessage) event() {}
+func (Publish) event()     {}
+
+// LinkPeer asks for a link to a daemon that is kept up until UnlinkPeer. Once
+// is set for a probe, which is tried one time; its Peer may be empty.
+type LinkPeer struct {
+	Peer, Address string
+	Once          bool
+}
+
+// UnlinkPeer closes a link that LinkPeer asked for.
+type UnlinkPeer struct{ Peer string }
+
+// SendPeer sends a message to a linked daemon. A message that cannot be sent
+// at once is dropped.
+type SendPeer struct {
+	To  string
+	Msg Msg
+}
+
+// Received hands a notice or a direct message of a peer to whoever handles its
+// topic.
+type Received struct {
+	From, Topic string
+	Body        []byte
+}
+
+func (LinkPeer) action()   {}
+func (UnlinkPeer) action() {}
+func (SendPeer) action()   {}
+func (Received) action()   {}
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/document"
@@ -49,6 +50,8 @@
 	MaxPolled int
 
 	Upstreams membership.UpstreamOptions
+	// Members holds timers of membership; Self and Seeds are set by New.
+	Members membership.MemberOptions
 }
 
 func (o Options) withDefaults() Options {
@@ -71,16 +74,26 @@
 
 // Node is the control state of one daemon. It is owned by one goroutine.
 type Node struct {
-	o        Options
-	revs     *revision.Set
-	ups      *membership.Upstreams
-	watches  map[string]*watch
-	watchSeq uint64
-	polls    map[string]*poll
-	vms      poll
-	draining bool
+	o       Options
+	revs    *revision.Set
+	ups     *membership.Upstreams
+	members *membership.Members
+	peers   peers
+	// moves are the entries of moves/ by key, passed on like documents.
+	moves     map[string]store.Entry
+	movesHash uint64
+	watches   map[string]*watch
+	watchSeq  uint64
+	// isElected is the choice of watchers, made again at electAt.
+	isElected bool
+	electAt   time.Time
+	polls     map[string]*poll
+	vms       poll
+	draining  bool
 	// storeOK is false while calls to the store fail.
-	storeOK    bool
+	storeOK bool
+	// storeTried is set once a call to the store has ended.
+	storeTried bool
 	configured bool
 	applied    uint64
 
@@ -95,7 +108,11 @@
 // New returns a node that knows nothing yet.
 func New(o Options) *Node {
 	o = o.withDefaults()
+	o.Members.Seeds = o.Seeds
+	o.Members.Self = membership.Member{Name: o.Name, DataCentre: o.DataCentre, Region: o.Region,
+		Address: o.PeerAddress, Incarnation: o.Incarnation}
 	n := &Node{
+		members: membership.NewMembers(o.Members), peers: newPeers(), moves: map[string]store.Entry{},
 		o: o, revs: revision.NewSet(), ups: membership.NewUpstreams(o.Upstreams),
 		watches: map[string]*watch{}, polls: map[string]*poll{}, dirty: map[string]bool{},
 	}
@@ -125,6 +142,16 @@
 		out = n.upstreamRefused(now, ev)
 	case Crash:
 		out = n.crashed(now, ev)
+	case PeerUp:
+		out = n.peerUp(now, ev)
+	case PeerDown:
+		out = n.peerDown(now, ev)
+	case LinkFailed:
+		out = n.linkFailed(now, ev)
+	case PeerMessage:
+		out = n.peerMessage(now, ev)
+	case Publish:
+		out = n.notice(now, ev.Notice, "")
 	case Drain:
 		if !n.draining {
 			n.draining, n.urgent = true, true
@@ -140,24 +167,29 @@
 }
 
 func (n *Node) tick(now time.Time) []Action {
-	out := n.tickWatches(now)
+	out := n.tickPeers(now)
+	out = append(out, n.tickWatches(now)...)
 	out = append(out, n.tickPolls(now)...)
 	n.refreshStates(now)
 	return out
 }
 
-// offer takes an entry of config/ or moves/ from any source.
-func (n *Node) offer(now time.Time, e store.Entry, source string) []Action {
+// offer takes an entry of config/ or moves/ from any source. From is the peer
+// that sent it, or empty.
+func (n *Node) offer(now time.Time, e store.Entry, source, from string) []Action {
+	if strings.HasPrefix(e.Key, MovesPrefix) {
+		return n.offerMove(e, from)
+	}
 	outcome, r := n.revs.Offer(e)
 	switch outcome {
 	case revision.InForce:
-		n.dirty[r.Service], n.urgent, n.configured = true, true, true
+		n.dirty[r.Service], n.urgent = true, true
 		n.setKnown()
 		text := fmt.Sprintf("revision %d of team %s is in force; received from %s", r.Revision, r.Envelope.Team, source)
 		if r.Deleted() {
 			text = fmt.Sprintf("revision %d of team %s deletes the service; received from %s", r.Revision, r.Envelope.Team, source)
 		}
-		return []Action{Explain{Subject: "service/" + r.Service, Text: text}}
+		return append([]Action{Explain{Subject: "service/" + r.Service, Text: text}}, n.announce(e.Key, from)...)
 	case revision.Rejected:
 		n.changed = true
 		return []Action{Explain{Subject: "service/" + r.Service, Text: fmt.Sprintf(
@@ -167,6 +199,17 @@
 	return nil
 }
 
+// offerMove keeps the newest entry of a move.
+func (n *Node) offerMove(e store.Entry, from string) []Action {
+	old := n.moves[e.Key]
+	if e.Index <= old.Index {
+		return nil
+	}
+	n.movesHash ^= moveHash(old) ^ moveHash(e)
+	n.moves[e.Key] = e
+	return n.announce(e.Key, from)
+}
+
 // setKnown passes the upstreams of all documents in force to the table of
 // states.
 func (n *Node) setKnown() {
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,345 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/store"
+	"github.com/gooseberryroad/gooseberryroad/vmlist"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+// cluster starts daemons d0, d1, ... over data centres; all know d0's address.
+func cluster(s *sim, daemons, dcs int) []*simNode {
+	var out []*simNode
+	for i := range daemons {
+		out = append(out, s.start(fmt.Sprint("d", i), fmt.Sprint("dc", i%dcs), "addr-d0"))
+	}
+	return out
+}
+
+func revisions(ns []*simNode, service string) (out []uint64) {
+	for _, n := range ns {
+		out = append(out, n.revs.RevisionOf(service))
+	}
+	return out
+}
+
+func all(rev uint64) OmegaMatcher { return HaveEach(rev) }
+
+// bound is the time in which an accepted document must be in force everywhere.
+const bound = 9 * time.Second
+
+var _ = Describe("Node", func() {
+	var s *sim
+	BeforeEach(func() { s = newSim(exampleSeed) })
+
+	// Guards against changes that take the interval of a watch or a digest per
+	// hop instead of being passed on at once.
+	It("puts a document in force everywhere within 2 s", func() {
+		ns := cluster(s, 9, 4)
+		s.run(10 * time.Second)
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(2 * time.Second)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
+	// Guards against all daemons holding watches, or none in a data centre.
+	It("holds two watches per data centre and prefix", func() {
+		cluster(s, 9, 2)
+		s.run(20 * time.Second)
+		before := s.listCalls
+		s.run(30 * time.Second)
+		// Two prefixes, four watchers, one call in 3 s; a list now and then.
+		Expect(s.listCalls - before).To(BeNumerically("~", 2*4*10, 12))
+	})
+
+	// Guards against a daemon without the store that keeps an old document.
+	It("takes documents from peers while cut off from the store", func() {
+		ns := cluster(s, 9, 4)
+		s.run(10 * time.Second)
+		s.storeCut["d3"], s.storeCut["d7"] = true, true
+		s.run(5 * time.Second)
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(2 * time.Second)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
+	// Guards against a data centre whose both watchers lost the store and do
+	// not hand over.
+	It("moves the watch when watchers lose the store and peers outside are cut off too", func() {
+		ns := cluster(s, 9, 3)
+		s.run(10 * time.Second)
+		watchers := ns[0].members.Watchers(s.now, "dc0")
+		Expect(watchers).To(HaveLen(2))
+		for _, w := range watchers {
+			s.storeCut[w] = true
+		}
+		for _, n := range ns {
+			for _, o := range ns {
+				if n.o.DataCentre == "dc0" && o.o.DataCentre != "dc0" {
+					s.setCut(n.name, o.name, true)
+				}
+			}
+		}
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(bound)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
+	// Guards against a daemon that starts during an outage of the store and
+	// serves nothing, or says that it is ready before it has all documents.
+	It("configures a daemon that starts during an outage from its peers", func() {
+		cluster(s, 6, 3)
+		s.run(5 * time.Second)
+		for i := range 20 {
+			s.put(fmt.Sprint("config/s", i), simDoc(fmt.Sprint("s", i), "v1"))
+		}
+		s.run(5 * time.Second)
+		s.storeCut[""] = true
+		late := s.start("d9", "dc1", "addr-d0")
+		s.check = func(n *simNode) {
+			if n == late && n.Snapshot().Configured {
+				Expect(n.Snapshot().Services).To(HaveLen(20))
+			}
+		}
+		s.run(5 * time.Second)
+		Expect(late.Snapshot().Configured).To(BeTrue())
+		By("a fleet that knows nothing is not configured by equal ignorance")
+		s = newSim(1)
+		s.storeCut[""] = true
+		ns := cluster(s, 4, 2)
+		s.run(30 * time.Second)
+		for _, n := range ns {
+			Expect(n.Snapshot().Configured).To(BeFalse())
+			Expect(n.Snapshot().StoreReachable).To(BeFalse())
+		}
+	})
+
+	It("brings a restarted daemon up to date", func() {
+		ns := cluster(s, 5, 2)
+		s.run(5 * time.Second)
+		s.put("config/a", simDoc("a", "v1"))
+		s.run(2 * time.Second)
+		s.kill(ns[3])
+		rev := s.put("config/a", simDoc("a", "v2"))
+		s.run(time.Second)
+		s.start("d3", "dc1", "addr-d0")
+		s.run(bound)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
+	// Guards against a watch that waits for ever on a silent connection. All
+	// watches are silent, so no peer can help.
+	It("opens silent watches again within the bound", func() {
+		ns := cluster(s, 4, 2)
+		s.run(10 * time.Second)
+		for _, n := range ns {
+			s.silent[n.name] = true
+		}
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(100 * time.Millisecond)
+		for _, n := range ns {
+			// The connections that are open stay silent; new ones work.
+			s.silent[n.name] = false
+		}
+		for _, w := range s.waiting {
+			w.closed = true
+		}
+		s.run(bound)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
+	// Guards against a message that is lost on a link which stays up.
+	It("repairs lost messages by comparing hashes", func() {
+		ns := cluster(s, 4, 2)
+		s.run(10 * time.Second)
+		for _, n := range ns[1:] {
+			s.storeCut[n.name] = true
+		}
+		s.loss = 1
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(1500 * time.Millisecond)
+		Expect(revisions(ns[1:], "a")).To(HaveEach(uint64(0)))
+		s.loss = 0
+		s.run(bound - 1500*time.Millisecond)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
+	// Guards against halves of a partition that stay apart after it heals.
+	It("joins the halves of a partition again", func() {
+		ns := cluster(s, 6, 2)
+		s.run(10 * time.Second)
+		split := func(cut bool) {
+			for _, n := range ns {
+				for _, o := range ns {
+					if n.o.DataCentre < o.o.DataCentre {
+						s.setCut(n.name, o.name, cut)
+					}
+				}
+			}
+		}
+		split(true)
+		s.run(2 * time.Minute)
+		Expect(ns[0].Snapshot().Peers).To(HaveLen(3))
+		for _, n := range ns {
+			s.storeCut[n.name] = n.o.DataCentre == "dc1"
+		}
+		split(false)
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(bound)
+		Expect(revisions(ns, "a")).To(all(rev))
+		Expect(ns[0].Snapshot().Peers).To(HaveLen(6))
+	})
+
+	// Guards against probes whose links pile up.
+	It("keeps only the links that a side has chosen", func() {
+		ns := cluster(s, 9, 3)
+		s.run(time.Minute)
+		for _, n := range ns {
+			for peer := range n.links {
+				Expect(n.peers.chosen[peer] || s.nodes[peer].peers.chosen[n.name]).To(BeTrue(), n.name+" to "+peer)
+			}
+		}
+	})
+
+	Describe("upstreams", func() {
+		const addr = "127.0.0.1:1"
+		var ns []*simNode
+		BeforeEach(func() {
+			s.engines[addr] = &engine.Load{Incarnation: "i1"}
+			ns = cluster(s, 9, 4)
+			s.run(5 * time.Second)
+			s.put("config/a", simDoc("a", "v1"))
+			s.run(5 * time.Second)
+		})
+		states := func() (out []UpstreamState) {
+			for _, n := range ns {
+				out = append(out, n.Snapshot().Services["a"].Upstreams[0].State)
+			}
+			return out
+		}
+
+		// Guards against new work at a leaving upstream while the list of VMs
+		// and its own report are late; the bound is 3 s.
+		It("are leaving everywhere at once after one refusal", func() {
+			s.vms = []vmlist.VM{{Name: "e1", Address: addr, Role: "upstream"}}
+			Expect(states()).To(HaveEach(UpstreamAlive))
+			s.step(ns[4], UpstreamRefused{Service: "a", Upstream: "e1", Incarnation: "i1", Leaving: true})
+			s.run(500 * time.Millisecond)
+			Expect(states()).To(HaveEach(UpstreamLeaving))
+			s.run(10 * time.Second)
+			Expect(states()).To(HaveEach(UpstreamLeaving))
+		})
+
+		// Guards against an urgent message that a full queue dropped.
+		It("are leaving everywhere within 3 s when the urgent message is lost", func() {
+			s.loss = 1
+			s.step(ns[4], UpstreamRefused{Service: "a", Upstream: "e1", Incarnation: "i1", Leaving: true})
+			s.loss = 0
+			s.run(3 * time.Second)
+			Expect(states()).To(HaveEach(UpstreamLeaving))
+		})
+
+		It("are leaving everywhere when one daemon sees the list of VMs", func() {
+			s.step(ns[2], VMsListed{VMs: []vmlist.VM{{Name: "e1", Address: addr, Role: "upstream", Leaving: true}}})
+			s.run(500 * time.Millisecond)
+			Expect(states()).To(HaveEach(UpstreamLeaving))
+		})
+
+		// Guards against traffic that waits for a process that is gone.
+		It("are dead after a refused connection and alive with a new incarnation", func() {
+			s.refused[addr] = true
+			s.step(ns[4], UpstreamRefused{Service: "a", Upstream: "e1", Incarnation: "i1"})
+			s.run(500 * time.Millisecond)
+			Expect(states()).To(HaveEach(UpstreamDead))
+			s.refused[addr], s.engines[addr] = false, &engine.Load{Incarnation: "i2"}
+			s.run(3 * time.Second)
+			Expect(states()).To(HaveEach(UpstreamAlive))
+			for _, n := range ns {
+				Expect(n.Snapshot().Services["a"].Upstreams[0].Incarnation).To(Equal("i2"))
+			}
+		})
+
+		// Guards against a break that waits for the next regular poll.
+		It("are polled at once after a crash", func() {
+			s.refused[addr] = true
+			s.step(ns[4], Crash{Service: "a", Upstream: "e1", Incarnation: "i1"})
+			s.run(200 * time.Millisecond)
+			Expect(ns[4].Snapshot().Services["a"].Upstreams[0].State).To(Equal(UpstreamDead))
+		})
+
+		It("are silent when reports stop", func() {
+			s.engines[addr] = nil
+			s.run(6 * time.Second)
+			Expect(states()).To(HaveEach(UpstreamSilent))
+		})
+
+		// Guards against a poll whose result was dropped and that is never made
+		// again.
+		It("are polled again when a result was lost", func() {
+			for _, n := range ns {
+				for _, p := range n.polls {
+					p.outstanding, p.issuedAt = true, s.now
+				}
+			}
+			s.run(6 * time.Second)
+			Expect(states()).To(HaveEach(UpstreamAlive))
+		})
+	})
+
+	// Guards against notices that loop or miss a daemon.
+	It("passes a notice to every daemon once", func() {
+		ns := cluster(s, 9, 4)
+		s.run(10 * time.Second)
+		s.step(ns[5], Publish{Notice{Topic: TopicAlarm, Body: []byte("v2 is bad")}})
+		s.run(time.Second)
+		for i, n := range ns {
+			got := 0
+			for _, a := range n.acts {
+				if r, ok := a.(Received); ok && string(r.Body) == "v2 is bad" {
+					got++
+				}
+			}
+			Expect(got).To(Equal(map[bool]int{true: 0, false: 1}[i == 5]))
+		}
+	})
+
+	It("passes moves on like documents", func() {
+		ns := cluster(s, 5, 2)
+		s.run(10 * time.Second)
+		s.storeCut["d4"] = true
+		rev := s.put("moves/a", []byte("{}"))
+		s.run(2 * time.Second)
+		for _, n := range ns {
+			Expect(n.moves["moves/a"].Index).To(Equal(rev))
+		}
+	})
+
+	// Guards against a snapshot that is written after it was published.
+	It("shares the views of services that did not change", func() {
+		n := cluster(s, 1, 1)[0]
+		s.put("config/a", simDoc("a", "v1"))
+		s.run(2 * time.Second)
+		old := n.Snapshot()
+		s.step(n, StoreWrote{Key: "config/b", Value: simDoc("b", "v1"), Index: 99})
+		Expect(old.Services).NotTo(HaveKey("b"))
+		Expect(n.Snapshot().Services["a"]).To(BeIdenticalTo(old.Services["a"]))
+		Expect(n.Snapshot().Services["b"].Shares).To(Equal(map[string]float64{"v1": 1}))
+		s.step(n, StoreWrote{Key: "config/b", Index: 100, Err: store.ErrConflict, Value: simDoc("b", "v2")})
+		Expect(n.Snapshot().Services["b"].Revision).To(Equal(uint64(99)))
+	})
+})
+
+// exampleSeed fixes the schedule of the examples; the property test
+// varies it.
+const exampleSeed = 11
--- a/node/polls.go
+++ b/node/polls.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"sort"
 	"time"
 
@@ -24,7 +23,7 @@
 		addrs = append(addrs, a)
 	}
 	sort.Slice(addrs, func(i, j int) bool {
-		return rendezvous(n.o.Name, addrs[i]) > rendezvous(n.o.Name, addrs[j])
+		return membership.Rendezvous(n.o.Name, addrs[i]) > membership.Rendezvous(n.o.Name, addrs[j])
 	})
 	if len(addrs) > n.o.MaxPolled {
 		addrs = addrs[:n.o.MaxPolled]
@@ -41,19 +40,6 @@
 	}
 }
 
-func rendezvous(chooser, candidate string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(chooser))
-	h.Write([]byte{0})
-	h.Write([]byte(candidate))
-	// FNV mixes the last bytes poorly into the high bits.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 func (n *Node) polled() []string {
 	addrs := make([]string, 0, len(n.polls))
 	for a := range n.polls {
@@ -72,7 +58,7 @@
 		p := n.polls[a]
 		if p.outstanding && now.Sub(p.issuedAt) > n.o.PollTimeout {
 			// The result was lost or the call hangs.
-			out = append(out, n.told(now, n.ups.PollFailed(now, a, false), "")...)
+			out = append(out, n.told(now, n.ups.PollFailed(now, a, false), "", "")...)
 		}
 		if n.due(now, p, n.o.PollInterval) {
 			out = append(out, PollLoad{Driver: p.driver, Address: a})
@@ -109,7 +95,8 @@
 	if ev.Err != nil {
 		return nil
 	}
-	return n.told(now, n.ups.VMs(now, ev.VMs), "the list of VMs")
+	n.members.VMs(now, ev.VMs)
+	return n.told(now, n.ups.VMs(now, ev.VMs), "the list of VMs", "")
 }
 
 func (n *Node) loadReported(now time.Time, ev LoadReported) []Action {
@@ -129,7 +116,7 @@
 			n.urgent = true
 		}
 	}
-	return n.told(now, marks, source)
+	return n.told(now, marks, source, "")
 }
 
 func (n *Node) upstreamRefused(now time.Time, ev UpstreamRefused) []Action {
@@ -137,7 +124,7 @@
 	if !ok {
 		return nil
 	}
-	out := n.told(now, n.ups.Refused(now, addr, ev.Incarnation, ev.Leaving), "a refused request")
+	out := n.told(now, n.ups.Refused(now, addr, ev.Incarnation, ev.Leaving), "a refused request", "")
 	if !ev.Leaving {
 		out = append(out, n.pollNow(now, addr)...)
 	}
@@ -153,15 +140,16 @@
 	return n.pollNow(now, addr)
 }
 
-// told applies what is new about upstreams to the snapshot.
-func (n *Node) told(now time.Time, marks []membership.Mark, source string) []Action {
+// told applies what is new about upstreams to the snapshot and passes it on.
+// From is the peer that said it, or empty.
+func (n *Node) told(now time.Time, marks []membership.Mark, source, from string) []Action {
 	var out []Action
 	for _, m := range marks {
 		out = append(out, Explain{Subject: "upstream/" + m.Address, Text: fmt.Sprintf(
 			"incarnation %q is %s according to %s", m.Incarnation, m.State, source)})
 	}
 	n.refreshStates(now)
-	return out
+	return append(out, n.spread(marks, from)...)
 }
 
 // refreshStates marks the services whose upstreams changed state. A change is
--- /dev/null
+++ b/node/property_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/revision"
+)
+
+// faults runs a fleet under random faults and returns the revisions that must
+// be in force once they end.
+func faults(s *sim, daemons int) (ns []*simNode, good map[string]uint64) {
+	good = map[string]uint64{}
+	dcs := 1 + s.rnd.IntN(4)
+	ns = cluster(s, daemons, dcs)
+	s.loss = s.rnd.Float64() * 0.4
+	s.maxDelay = time.Duration(1+s.rnd.IntN(400)) * time.Millisecond
+	s.stale = s.rnd.Float64() * 0.4
+	pick := func() *simNode { return ns[s.rnd.IntN(len(ns))] }
+	for i := range 60 {
+		s.run(time.Duration(s.rnd.IntN(1000)) * time.Millisecond)
+		switch s.rnd.IntN(10) {
+		case 0, 1, 2, 3:
+			name := fmt.Sprint("s", s.rnd.IntN(3))
+			value, ok := simDoc(name, fmt.Sprint("v", i)), true
+			switch s.rnd.IntN(6) {
+			case 0:
+				value, ok = []byte("junk"), false
+			case 1:
+				value = revision.Envelope{Team: "t", Deleted: true}.Encode()
+			}
+			if s.storeCut[""] {
+				continue
+			}
+			rev := s.put("config/"+name, value)
+			if ok {
+				good[name] = rev
+			}
+			// The answer may be lost, or its event dropped.
+			if n := pick(); s.rnd.IntN(2) == 0 && !s.storeCut[n.name] {
+				s.step(n, StoreWrote{Key: "config/" + name, Value: value, Index: rev})
+			}
+		case 4:
+			n := pick()
+			s.kill(n)
+			if s.rnd.IntN(3) > 0 {
+				s.start(n.name, n.o.DataCentre, "addr-d0", "addr-d1")
+			}
+		case 5:
+			s.storeCut[""] = !s.storeCut[""]
+		case 6:
+			n := pick()
+			s.storeCut[n.name] = !s.storeCut[n.name]
+		case 7:
+			n := pick()
+			s.silent[n.name] = !s.silent[n.name]
+		default:
+			if a, b := pick(), pick(); a != b {
+				s.setCut(a.name, b.name, s.rnd.IntN(3) > 0)
+			}
+		}
+	}
+	return ns, good
+}
+
+// heal ends all faults. Connections that went silent stay so. A revision that
+// a writer outside the API replaced by a document with mistakes, before any
+// living daemon saw it, is nowhere any more and is not expected.
+func heal(s *sim, ns []*simNode, good map[string]uint64) {
+	for name, rev := range good {
+		if s.entries["config/"+name].Index == rev {
+			continue
+		}
+		held := uint64(0)
+		for _, n := range ns {
+			if n.alive {
+				held = max(held, n.revs.RevisionOf(name))
+			}
+		}
+		good[name] = min(rev, held)
+	}
+	s.loss, s.stale, s.maxDelay = 0, 0, 5*time.Millisecond
+	for _, w := range s.waiting {
+		w.closed = w.closed || s.silent[w.n.name]
+	}
+	clear(s.storeCut)
+	clear(s.silent)
+	clear(s.cut)
+	for _, n := range ns {
+		if !n.alive {
+			s.start(n.name, n.o.DataCentre, "addr-d0", "addr-d1")
+		}
+	}
+}
+
+var _ = Describe("A fleet under faults", func() {
+	// Guards against a revision that goes back on any life of a daemon (checked
+	// after every event) and against daemons that stay behind once faults end.
+	It("never goes back and agrees within the bound once faults end", func() {
+		for seed := range uint64(120) {
+			s := newSim(seed)
+			ns, good := faults(s, 3+int(seed%7))
+			heal(s, ns, good)
+			s.run(bound)
+			for _, n := range ns {
+				Expect(s.expected(good)(n)).To(Succeed(), "seed %d", seed)
+				Expect(n.Snapshot().Configured).To(BeTrue(), "seed %d: %s", seed, n.name)
+			}
+		}
+	})
+
+	// Guards against daemons that only the store can bring up to date: after
+	// the faults it stays down for all but one.
+	It("agrees through peers while one daemon reaches the store", func() {
+		for seed := range uint64(60) {
+			s := newSim(1000 + seed)
+			ns, good := faults(s, 3+int(seed%7))
+			heal(s, ns, good)
+			for _, n := range ns[1:] {
+				s.storeCut[n.name] = true
+			}
+			s.run(bound)
+			for _, n := range ns {
+				Expect(s.expected(good)(n)).To(Succeed(), "seed %d", seed)
+			}
+		}
+	})
+})
--- a/node/publish.go
+++ b/node/publish.go
@@ -31,6 +31,16 @@
 			s.Rejected[name] = Rejection{Revision: r.Revision, Author: author(r), Problems: r.Problems}
 		}
 	}
+	s.Members, s.Peers = nil, nil
+	for _, m := range n.members.Live(now) {
+		s.Peers = append(s.Peers, m.Name)
+		applied := m.Applied
+		if m.Name == n.o.Name {
+			applied = n.applied
+		}
+		s.Members = append(s.Members, MemberView{Name: m.Name, DataCentre: m.DataCentre, Region: m.Region,
+			Applied: applied, StoreDown: m.StoreDown, Linked: n.peers.links[m.Name] != nil})
+	}
 	n.snap = &s
 	n.dirty, n.changed, n.urgent = map[string]bool{}, false, false
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -36,9 +36,14 @@
 
 func (n *Node) tickWatches(now time.Time) []Action {
 	var out []Action
+	// A daemon that lost the store tries it until a call succeeds, elected or
+	// not. Once all daemons of a data centre have failed, the elected ones need
+	// not be those that can reach it again.
+	elected := n.elected(now)
+	watching := elected || n.storeTried && !n.storeOK
 	for _, prefix := range watchedPrefixes {
 		w := n.watches[prefix]
-		if !n.watching() {
+		if !watching {
 			if w.id != 0 {
 				w.id, w.index = 0, 0
 				out = append(out, UnwatchStore{Prefix: prefix})
@@ -52,7 +57,12 @@
 			n.watchFailed(now, w)
 			w.nextAt = now
 		}
-		if w.id != 0 || now.Before(w.nextAt) {
+		nextAt := w.nextAt
+		if !elected {
+			// The whole fleet may be trying.
+			nextAt = nextAt.Add(maxBackoff)
+		}
+		if w.id != 0 || now.Before(nextAt) {
 			continue
 		}
 		if now.Sub(w.listedAt) > n.o.RelistInterval {
@@ -68,13 +78,21 @@
 	return out
 }
 
-// watching reports whether this daemon holds the watches.
-func (n *Node) watching() bool { return true }
+// electInterval is how often the choice of watchers is made again.
+const electInterval = 500 * time.Millisecond
+
+func (n *Node) elected(now time.Time) bool {
+	if !now.Before(n.electAt) {
+		n.electAt, n.isElected = now.Add(electInterval), n.members.Watches(now)
+	}
+	return n.isElected
+}
 
 func (n *Node) watchFailed(now time.Time, w *watch) {
 	w.id, w.index = 0, 0
 	w.failures++
 	w.nextAt = now.Add(backoff(n.o.Rand, w.failures))
+	n.storeTried = true
 	if n.storeOK {
 		n.storeOK, n.changed = false, true
 	}
@@ -97,7 +115,7 @@
 	if ev.Err == nil {
 		for _, e := range ev.Entries {
 			if strings.HasPrefix(e.Key, ev.Prefix) {
-				out = append(out, n.offer(now, e, "the store")...)
+				out = append(out, n.offer(now, e, "the store", "")...)
 			}
 		}
 		if ev.Prefix == revision.Prefix {
@@ -132,6 +150,7 @@
 	}
 	w.id, w.index, w.failures = 0, ev.Index, 0
 	w.nextAt = w.issuedAt.Add(minWatchGap)
+	n.storeTried = true
 	if !n.storeOK {
 		n.storeOK, n.changed = true, true
 	}
@@ -142,5 +161,5 @@
 	if ev.Err != nil || ev.Index == 0 {
 		return nil
 	}
-	return n.offer(now, store.Entry{Key: ev.Key, Value: ev.Value, Index: ev.Index}, "the operator API of this daemon")
+	return n.offer(now, store.Entry{Key: ev.Key, Value: ev.Value, Index: ev.Index}, "the operator API of this daemon", "")
 }
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/peerpb"
+)
+
+// protocol is raised when daemons with another number cannot understand each
+// other.
+const protocol = 1
+
+const nonceBytes = 32
+
+// errRefused reports that the other side closed the link in the handshake.
+var errRefused = eris.New("the other daemon refused the link")
+
+// proof answers both nonces. The role keeps an answer of one side from being
+// sent back as the answer of the other, and the names keep it from serving in
+// another pair's handshake.
+func proof(key, role string, dialerNonce, listenerNonce []byte, dialer, listener *peerpb.Member) []byte {
+	h := hmac.New(sha256.New, []byte(key))
+	field := func(b []byte) {
+		h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(b))))
+		h.Write(b)
+	}
+	field([]byte("gooseberryroad peer 1 " + role))
+	field(dialerNonce)
+	field(listenerNonce)
+	for _, m := range []*peerpb.Member{dialer, listener} {
+		field([]byte(m.GetName()))
+		field([]byte(m.GetDataCentre()))
+		field([]byte(m.GetRegion()))
+		field([]byte(m.GetAddress()))
+		field(binary.BigEndian.AppendUint64(nil, m.GetIncarnation()))
+	}
+	return h.Sum(nil)
+}
+
+func nonce() []byte {
+	b := make([]byte, nonceBytes)
+	// Read never returns an error.
+	_, _ = rand.Read(b)
+	return b
+}
+
+// check validates what a Hello says besides its proof.
+func check(h *peerpb.Hello, self membership.Member) error {
+	switch {
+	case h.GetRefused() != "":
+		return eris.Wrap(errRefused, h.GetRefused())
+	case h.GetProtocol() != protocol:
+		return eris.Errorf("the other daemon speaks protocol %d instead of %d", h.GetProtocol(), protocol)
+	case len(h.GetNonce()) != nonceBytes:
+		return eris.Errorf("a nonce has %d bytes instead of %d", len(h.GetNonce()), nonceBytes)
+	case h.GetMember().GetName() == "":
+		return eris.New("the other daemon does not give its name")
+	case h.GetMember().GetName() == self.Name:
+		return eris.New("the other daemon has the name of this one")
+	}
+	return nil
+}
+
+// dialHandshake proves the key to the listener and checks its proof.
+func dialHandshake(c io.ReadWriter, key string, self membership.Member) (membership.Member, error) {
+	mine := &peerpb.Hello{Protocol: protocol, Member: memberToProto(self), Nonce: nonce()}
+	if _, err := writeFrame(c, mine); err != nil {
+		return membership.Member{}, err
+	}
+	theirs := &peerpb.Hello{}
+	if _, err := readFrame(c, theirs, maxHelloBytes); err != nil {
+		return membership.Member{}, err
+	}
+	if err := check(theirs, self); err != nil {
+		return membership.Member{}, err
+	}
+	if !hmac.Equal(theirs.GetProof(), proof(key, "listener", mine.Nonce, theirs.Nonce, mine.Member, theirs.Member)) {
+		return membership.Member{}, eris.New("the other daemon does not hold the key")
+	}
+	answer := &peerpb.Hello{Protocol: protocol, Proof: proof(key, "dialer", mine.Nonce, theirs.Nonce, mine.Member, theirs.Member)}
+	if _, err := writeFrame(c, answer); err != nil {
+		return membership.Member{}, err
+	}
+	return memberFromProto(theirs.Member), nil
+}
+
+// acceptHandshake is the listener's side of dialHandshake.
+func acceptHandshake(c io.ReadWriter, key string, self membership.Member) (membership.Member, error) {
+	theirs := &peerpb.Hello{}
+	if _, err := readFrame(c, theirs, maxHelloBytes); err != nil {
+		return membership.Member{}, err
+	}
+	if err := check(theirs, self); err != nil {
+		_, _ = writeFrame(c, &peerpb.Hello{Protocol: protocol, Refused: err.Error()})
+		return membership.Member{}, err
+	}
+	mine := &peerpb.Hello{Protocol: protocol, Member: memberToProto(self), Nonce: nonce()}
+	mine.Proof = proof(key, "listener", theirs.Nonce, mine.Nonce, theirs.Member, mine.Member)
+	if _, err := writeFrame(c, mine); err != nil {
+		return membership.Member{}, err
+	}
+	answer := &peerpb.Hello{}
+	if _, err := readFrame(c, answer, maxHelloBytes); err != nil {
+		return membership.Member{}, err
+	}
+	if !hmac.Equal(answer.GetProof(), proof(key, "dialer", theirs.Nonce, mine.Nonce, theirs.Member, mine.Member)) {
+		return membership.Member{}, eris.New("the other daemon does not hold the key")
+	}
+	return memberFromProto(theirs.Member), nil
+}
--- /dev/null
+++ b/peer/transport.go
@@ -0,0 +1,447 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/peerpb"
+)
+
+// Options configure a Transport. The zero value of a limit selects its default.
+type Options struct {
+	// Self is what the daemon says about itself in the handshake.
+	Self membership.Member
+	// Key is shared by all daemons.
+	Key    string
+	Logger *slog.Logger
+	// Metrics receives the counters; nil means a private set.
+	Metrics *metrics.Set
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	// HandshakeTimeout bounds dialing and the handshake.
+	HandshakeTimeout time.Duration
+	// KeepAlive is the time between two pings, and PingTimeout how long an
+	// answer may take. Their sum bounds how long a silent connection counts as
+	// a link.
+	KeepAlive, PingTimeout time.Duration
+	// BackoffMin and BackoffMax bound the jittered pause between two attempts
+	// to dial a peer.
+	BackoffMin, BackoffMax time.Duration
+	// QueueSize bounds the messages that wait for one peer.
+	QueueSize int
+	// MaxSessions bounds the sessions with all peers together.
+	MaxSessions int
+}
+
+func (o Options) withDefaults() Options {
+	for _, d := range []struct {
+		p *time.Duration
+		v time.Duration
+	}{
+		{&o.HandshakeTimeout, 2 * time.Second}, {&o.KeepAlive, 2 * time.Second}, {&o.PingTimeout, 2 * time.Second},
+		{&o.BackoffMin, 200 * time.Millisecond}, {&o.BackoffMax, 5 * time.Second},
+	} {
+		if *d.p == 0 {
+			*d.p = d.v
+		}
+	}
+	if o.QueueSize == 0 {
+		o.QueueSize = 256
+	}
+	if o.MaxSessions == 0 {
+		o.MaxSessions = 256
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		}
+	}
+	return o
+}
+
+// Transport holds the links of one daemon.
+type Transport struct {
+	o       Options
+	log     *slog.Logger
+	deliver func(node.Event) bool
+	ctx     context.Context
+	wg      sync.WaitGroup
+
+	// events orders the PeerUp and PeerDown events of a peer like the changes
+	// of its sessions. It is held while such an event is delivered.
+	events sync.Mutex
+	mu     sync.Mutex
+	// sessions of each peer, the newest last.
+	sessions map[string][]*session
+	wanted   map[string]context.CancelFunc
+	slots    chan struct{}
+
+	in, out, dropped, refused *metrics.Counter
+}
+
+// session is one authenticated connection.
+type session struct {
+	peer   membership.Member
+	dialed bool
+	mux    *yamux.Session
+	queue  chan node.Msg
+}
+
+// New returns a transport that does nothing until Run.
+func New(o Options) *Transport {
+	o = o.withDefaults()
+	m := o.Metrics
+	t := &Transport{
+		o: o, log: o.Logger.With("part", "peer"),
+		sessions: map[string][]*session{}, wanted: map[string]context.CancelFunc{}, slots: make(chan struct{}, o.MaxSessions),
+		in:      m.GetOrCreateCounter(`gooseberryroad_peer_bytes_total{direction="in"}`),
+		out:     m.GetOrCreateCounter(`gooseberryroad_peer_bytes_total{direction="out"}`),
+		dropped: m.GetOrCreateCounter("gooseberryroad_peer_messages_dropped_total"),
+		refused: m.GetOrCreateCounter("gooseberryroad_peer_handshakes_failed_total"),
+	}
+	m.GetOrCreateGauge("gooseberryroad_peer_links", func() float64 {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return float64(len(t.sessions))
+	})
+	return t
+}
+
+// Start sets where events go and begins to accept links. It must be called
+// before Link. Everything ends with the context; Wait returns when it has.
+func (t *Transport) Start(ctx context.Context, ln net.Listener, deliver func(node.Event) bool) {
+	t.ctx, t.deliver = ctx, deliver
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	t.spawn(func() {
+		defer stop()
+		t.accept(ctx, ln)
+	})
+}
+
+// Wait returns when all goroutines have ended after the end of the context.
+func (t *Transport) Wait() { t.wg.Wait() }
+
+func (t *Transport) spawn(f func()) {
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		f()
+	}()
+}
+
+func (t *Transport) accept(ctx context.Context, ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			// Out of file descriptors, say.
+			t.log.Warn("a link could not be accepted", "cause", err)
+			if !pause(ctx, 100*time.Millisecond) {
+				return
+			}
+			continue
+		}
+		t.spawn(func() {
+			if err := t.serve(ctx, c, false, ""); err != nil && ctx.Err() == nil {
+				t.log.Debug("a link was refused", "address", c.RemoteAddr().String(), "cause", err)
+			}
+		})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Link carries out a LinkPeer action.
+func (t *Transport) Link(a node.LinkPeer) {
+	if a.Once {
+		t.spawn(func() {
+			if err := t.dial(t.ctx, a.Peer, a.Address); err != nil {
+				t.log.Debug("a probe failed", "peer", a.Peer, "address", a.Address, "cause", err)
+			}
+		})
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wanted[a.Peer] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.wanted[a.Peer] = cancel
+	t.spawn(func() { t.keep(ctx, a.Peer, a.Address) })
+}
+
+// Unlink carries out an UnlinkPeer action: sessions that this daemon dialed are
+// closed.
+func (t *Transport) Unlink(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cancel := t.wanted[peer]; cancel != nil {
+		cancel()
+		delete(t.wanted, peer)
+	}
+	for _, s := range t.sessions[peer] {
+		if s.dialed {
+			_ = s.mux.Close()
+		}
+	}
+}
+
+// Send queues a message for a linked peer. It never blocks: without a link or
+// with a full queue the message is dropped and counted, and Send returns false.
+func (t *Transport) Send(to string, m node.Msg) bool {
+	t.mu.Lock()
+	ss := t.sessions[to]
+	t.mu.Unlock()
+	if len(ss) > 0 {
+		select {
+		case ss[len(ss)-1].queue <- m:
+			return true
+		default:
+		}
+	}
+	t.dropped.Inc()
+	return false
+}
+
+// keep dials a peer again and again until the context ends. While the peer has
+// a session that it dialed itself, that one serves.
+func (t *Transport) keep(ctx context.Context, peer, addr string) {
+	failures := 0
+	for ctx.Err() == nil {
+		if !t.linked(peer) {
+			started := time.Now()
+			err := t.dial(ctx, peer, addr)
+			if ctx.Err() != nil {
+				return
+			}
+			if time.Since(started) > t.o.BackoffMax {
+				failures = 0
+			}
+			if err != nil {
+				t.log.Info("a peer could not be linked", "peer", peer, "address", addr, "cause", err)
+				t.deliver(node.LinkFailed{Peer: peer})
+			}
+			failures++
+		}
+		d := min(t.o.BackoffMin<<min(failures, 10), t.o.BackoffMax)
+		if !pause(ctx, d/2+time.Duration(rand.Int64N(int64(d/2)+1))) {
+			return
+		}
+	}
+}
+
+func (t *Transport) linked(peer string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sessions[peer]) > 0
+}
+
+// dial opens a session and serves it until it ends. The error tells why it
+// could not be opened.
+func (t *Transport) dial(ctx context.Context, peer, addr string) error {
+	dctx, cancel := context.WithTimeout(ctx, t.o.HandshakeTimeout)
+	c, err := t.o.Dial(dctx, addr)
+	cancel()
+	if err != nil {
+		return eris.Wrap(err, "dial")
+	}
+	return t.serve(ctx, c, true, peer)
+}
+
+// serve runs the handshake and then the session until it ends. It returns an
+// error when the session did not come about.
+func (t *Transport) serve(ctx context.Context, c net.Conn, dialed bool, expect string) error {
+	defer c.Close()
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	default:
+		return eris.New("too many sessions")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	_ = c.SetDeadline(time.Now().Add(t.o.HandshakeTimeout))
+	counted := &countedConn{Conn: c, in: t.in, out: t.out}
+	shake := acceptHandshake
+	if dialed {
+		shake = dialHandshake
+	}
+	member, err := shake(counted, t.o.Key, t.o.Self)
+	if err != nil {
+		t.refused.Inc()
+		return err
+	}
+	if expect != "" && member.Name != expect {
+		return eris.Errorf("the daemon there is %s and not %s", member.Name, expect)
+	}
+	_ = c.SetDeadline(time.Time{})
+	s := &session{peer: member, dialed: dialed, queue: make(chan node.Msg, t.o.QueueSize)}
+	conf := yamux.DefaultConfig()
+	conf.KeepAliveInterval, conf.ConnectionWriteTimeout = t.o.KeepAlive, t.o.PingTimeout
+	conf.LogOutput = io.Discard
+	if dialed {
+		s.mux, err = yamux.Client(counted, conf)
+	} else {
+		s.mux, err = yamux.Server(counted, conf)
+	}
+	if err != nil {
+		return eris.Wrap(err, "open a session")
+	}
+	defer s.mux.Close()
+	return t.exchange(ctx, s)
+}
+
+// exchange runs the message stream of a session.
+func (t *Transport) exchange(ctx context.Context, s *session) error {
+	var stream net.Conn
+	var err error
+	if s.dialed {
+		stream, err = s.mux.Open()
+	} else {
+		// The dialer opens the stream at once; a session without one is closed.
+		timer := time.AfterFunc(t.o.HandshakeTimeout, func() { _ = s.mux.Close() })
+		stream, err = s.mux.Accept()
+		timer.Stop()
+	}
+	if err != nil {
+		return eris.Wrap(err, "open the message stream")
+	}
+	t.add(ctx, s)
+	t.spawn(func() { t.write(s, stream) })
+	err = t.read(s, stream)
+	_ = s.mux.Close()
+	t.log.Debug("a link ended", "peer", s.peer.Name, "cause", err)
+	t.remove(ctx, s)
+	return nil
+}
+
+func (t *Transport) read(s *session, stream net.Conn) error {
+	for {
+		var m peerpb.Message
+		if _, err := readFrame(stream, &m, MaxMessageBytes); err != nil {
+			return err
+		}
+		msg, err := decode(&m)
+		if err != nil {
+			return err
+		}
+		if msg != nil {
+			t.deliver(node.PeerMessage{From: s.peer.Name, Msg: msg})
+		}
+	}
+}
+
+func (t *Transport) write(s *session, stream net.Conn) {
+	defer s.mux.Close()
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case m := <-s.queue:
+			p, err := encode(m)
+			if err != nil {
+				t.log.Error("a message could not be sent", "peer", s.peer.Name, "cause", err)
+				continue
+			}
+			if _, err := writeFrame(stream, p); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// add makes a session the one that messages are sent on. An older one that the
+// same side dialed is closed: the other side has given it up.
+func (t *Transport) add(ctx context.Context, s *session) {
+	t.events.Lock()
+	defer t.events.Unlock()
+	t.mu.Lock()
+	for _, old := range t.sessions[s.peer.Name] {
+		if old.dialed == s.dialed {
+			_ = old.mux.Close()
+		}
+	}
+	t.sessions[s.peer.Name] = append(t.sessions[s.peer.Name], s)
+	t.mu.Unlock()
+	t.mustDeliver(ctx, node.PeerUp{Peer: s.peer, Dialed: s.dialed})
+}
+
+func (t *Transport) remove(ctx context.Context, s *session) {
+	t.events.Lock()
+	defer t.events.Unlock()
+	t.mu.Lock()
+	var left []*session
+	for _, o := range t.sessions[s.peer.Name] {
+		if o != s {
+			left = append(left, o)
+		}
+	}
+	if len(left) > 0 {
+		t.sessions[s.peer.Name] = left
+	} else {
+		delete(t.sessions, s.peer.Name)
+	}
+	t.mu.Unlock()
+	if len(left) == 0 {
+		t.mustDeliver(ctx, node.PeerDown{Peer: s.peer.Name})
+	}
+}
+
+// mustDeliver waits for room in the queue: no later event repairs the loss of
+// this one.
+func (t *Transport) mustDeliver(ctx context.Context, ev node.Event) {
+	for !t.deliver(ev) {
+		if !pause(ctx, 20*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// countedConn counts all bytes of a connection.
+type countedConn struct {
+	net.Conn
+	in, out *metrics.Counter
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(n)
+	return n, err
+}
