--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,8 +27,10 @@
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/entry"
 	"github.com/gooseberryroad/gooseberryroad/kernel"
+	"github.com/gooseberryroad/gooseberryroad/membership"
 	"github.com/gooseberryroad/gooseberryroad/node"
 	"github.com/gooseberryroad/gooseberryroad/operator"
+	"github.com/gooseberryroad/gooseberryroad/peer"
 	"github.com/gooseberryroad/gooseberryroad/plain"
 	"github.com/gooseberryroad/gooseberryroad/settings"
 	"github.com/gooseberryroad/gooseberryroad/store"
@@ -48,6 +50,7 @@
 	settings  *settings.Settings
 	log       *slog.Logger
 	loop      *control.Loop
+	peers     *peer.Transport
 	entry     *entry.Entry
 	plain     *plain.Handler
 	callers   *http.Server
@@ -87,7 +90,7 @@
 	d.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return &fxevent.SlogLogger{Logger: slog.New(slog.DiscardHandler)} }),
 		fx.Supply(o.Settings, o.Logger, ln),
-		fx.Provide(newStore, newLister, newEngines, newSealer, newControlMetrics, newLoop, newEntry, newPlain, newOperator),
+		fx.Provide(newStore, newLister, newEngines, newSealer, newControlMetrics, newSelf, newPeers, newLoop, newEntry, newPlain, newOperator),
 		fx.Invoke(d.attach),
 	)
 	if err := d.app.Err(); err != nil {
@@ -164,21 +167,35 @@
 
 func newControlMetrics() controlMetrics { return controlMetrics{metrics.NewSet()} }
 
-func newLoop(s *settings.Settings, log *slog.Logger, st store.Store, vms vmlist.Lister, clients engines, ln listeners, set controlMetrics) (*control.Loop, error) {
+// newSelf is what this daemon says about itself to others. The incarnation
+// rises with every start, because the clock does.
+func newSelf(s *settings.Settings, ln listeners) membership.Member {
+	return membership.Member{
+		Name: s.Daemon.Name, DataCentre: s.Daemon.DataCentre, Region: s.Daemon.Region,
+		Address: ln.peers.Addr().String(), Incarnation: uint64(time.Now().UnixNano()),
+	}
+}
+
+func newPeers(s *settings.Settings, log *slog.Logger, self membership.Member, set controlMetrics) *peer.Transport {
+	return peer.New(peer.Options{Self: self, Key: s.Peers.Key, Logger: log, Metrics: set.Set})
+}
+
+func newLoop(s *settings.Settings, log *slog.Logger, st store.Store, vms vmlist.Lister, clients engines, self membership.Member, links *peer.Transport, set controlMetrics) (*control.Loop, error) {
 	n, err := seed()
 	if err != nil {
 		return nil, err
 	}
 	return control.New(control.Options{
 		Node: node.Options{
-			Name:        s.Daemon.Name,
-			DataCentre:  s.Daemon.DataCentre,
-			Region:      s.Daemon.Region,
-			PeerAddress: ln.peers.Addr().String(),
-			Incarnation: uint64(time.Now().UnixNano()),
+			Name:        self.Name,
+			DataCentre:  self.DataCentre,
+			Region:      self.Region,
+			PeerAddress: self.Address,
+			Incarnation: self.Incarnation,
 			Seeds:       s.Peers.Seeds,
 			Rand:        mathrand.New(mathrand.NewPCG(n, 1)),
 		},
+		Peers:        links,
 		Store:        st,
 		OpenStore:    func() (store.Store, error) { return newStore(s) },
 		VMs:          vms,
@@ -249,8 +266,8 @@
 }
 
 // attach builds the HTTP servers and hooks them into the application's life.
-func (d *Daemon) attach(lc fx.Lifecycle, loop *control.Loop, e *entry.Entry, p *plain.Handler, op *operator.Server) {
-	d.loop, d.entry, d.plain = loop, e, p
+func (d *Daemon) attach(lc fx.Lifecycle, loop *control.Loop, links *peer.Transport, e *entry.Entry, p *plain.Handler, op *operator.Server) {
+	d.loop, d.peers, d.entry, d.plain = loop, links, e, p
 	mux := http.NewServeMux()
 	mux.Handle(plain.Prefix, p)
 	mux.Handle("/", e.Handler())
@@ -274,6 +291,7 @@
 			d.log.Error("control loop ended", "cause", err)
 		}
 	}()
+	d.peers.Start(ctx, d.listeners.peers, d.loop.Post)
 	go d.serve(d.callers, d.listeners.callers)
 	go d.serve(d.operators, d.listeners.operators)
 	return nil
@@ -311,6 +329,7 @@
 	d.listeners.close()
 	d.cancel()
 	<-d.done
+	d.peers.Wait()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -361,6 +361,9 @@
 		lines = append(lines, fmt.Sprintf("%s: %d", call, n))
 	}
 	sort.Strings(lines)
+	if len(lines) == 0 {
+		lines = []string{"no call ran"}
+	}
 	for _, l := range lines {
 		fmt.Fprintln(ts.Stdout(), l)
 	}
