--- a/standin/engine.go
+++ b/standin/engine.go
@@ -69,8 +69,8 @@
 	NoPriorities bool
 	// Faults are in force from the start.
 	Faults EngineFaults
-	// Died is called once the engine has died of a fault. A process exits in
-	// it; in process it may be nil.
+	// Died is called once the engine has died of a fault. It must not call
+	// Close, which waits for the goroutine that it is called from.
 	Died func(reason string)
 }
 
@@ -178,7 +178,7 @@
 	arrival uint64
 	cache   *prefixCache
 	loads   []EngineLoad
-	// generatedSince counts tokens for DieAfterTokens.
+	// generatedSince counts tokens for DieAfterTokens and PauseAfterTokens.
 	generatedSince int64
 	// accepted counts requests of the current version for BadVersion.
 	accepted map[string]int
@@ -238,7 +238,8 @@
 	}
 	var err error
 	if e.controlled, err = startControl(o.Control, e.controlRoutes); err != nil {
-		e.srv.stop()
+		e.Stop()
+		e.srv.close()
 		return nil, err
 	}
 	context.AfterFunc(ctx, e.Close)
@@ -251,8 +252,8 @@
 // Close ends the engine and its control.
 func (e *Engine) Close() {
 	e.Stop()
-	e.srv.unpause()
-	e.control.stop()
+	e.srv.close()
+	e.control.close()
 	e.wg.Wait()
 }
 
@@ -491,6 +492,10 @@
 	clear(e.running[len(keep):])
 	e.running = keep
 	e.running = dropOver(e.running)
+	if n := e.faults.PauseAfterTokens; n > 0 && e.generatedSince >= n {
+		e.faults.PauseAfterTokens = 0
+		e.srv.pause()
+	}
 	if n := e.faults.DieAfterTokens; n > 0 && e.generatedSince >= n {
 		return "fault: died mid-output"
 	}
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -56,6 +56,12 @@
 	// DieAfterTokens makes the engine die once it has generated so many more
 	// tokens, over all requests. It is cleared when the engine dies.
 	DieAfterTokens int64 `json:"die_after_tokens,omitempty"`
+	// PauseAfterTokens pauses the engine once it has generated so many more
+	// tokens, over all requests. It is cleared then.
+	PauseAfterTokens int64 `json:"pause_after_tokens,omitempty"`
+	// HangAfterTokens makes the next connection that has sent so many tokens
+	// silent for good. It is cleared then; the generation goes on.
+	HangAfterTokens int `json:"hang_after_tokens,omitempty"`
 	// Slow multiplies the time of each step; 0 and 1 are normal.
 	Slow float64 `json:"slow,omitempty"`
 	// CrashMarker makes the engine die when it runs a request whose prompt
@@ -121,6 +127,13 @@
 	return nil
 }
 
+// hangDue reports how many more tokens a stream that has sent some may send
+// before its connection hangs, and whether there is such a fault.
+func (e *Engine) hangDue(sent int) (int, bool) {
+	n := e.faults.HangAfterTokens
+	return max(0, n-sent), n > 0
+}
+
 // bad returns the fault of the running version if its triggers hold.
 func (e *Engine) bad(version string) (BadVersion, bool) {
 	b, ok := e.faults.BadVersions[version]
@@ -179,9 +192,14 @@
 		}
 	})
 	r.POST("/die", func(c *gin.Context) {
+		// The answer comes after the death and before a process exits.
+		const reason = "fault: told to die"
+		died := e.endLife(reason)
 		ok(c)
 		c.Writer.Flush()
-		e.Crash("fault: told to die")
+		if died && e.o.Died != nil {
+			e.o.Died(reason)
+		}
 	})
 	r.POST("/start", func(c *gin.Context) {
 		if err := e.Start(); err != nil {
--- a/standin/service.go
+++ b/standin/service.go
@@ -171,7 +171,7 @@
 	}
 	var err error
 	if s.controlled, err = startControl(o.Control, s.controlRoutes); err != nil {
-		s.srv.stop()
+		s.srv.close()
 		return nil, err
 	}
 	context.AfterFunc(ctx, s.Close)
@@ -193,9 +193,8 @@
 
 // Close ends the service and its control.
 func (s *Service) Close() {
-	s.srv.stop()
-	s.srv.unpause()
-	s.control.stop()
+	s.srv.close()
+	s.control.close()
 }
 
 // SetFaults replaces the standing faults.
@@ -331,6 +330,8 @@
 		}
 	})
 	r.POST("/die", func(c *gin.Context) {
+		// The answer comes after the death and before a process exits.
+		s.srv.stop()
 		ok(c)
 		c.Writer.Flush()
 		s.die("fault: told to die")
--- a/standin/vms.go
+++ b/standin/vms.go
@@ -79,7 +79,7 @@
 	}
 	var err error
 	if l.controlled, err = startControl(o.Control, l.controlRoutes); err != nil {
-		l.srv.stop()
+		l.srv.close()
 		return nil, err
 	}
 	context.AfterFunc(ctx, l.Close)
@@ -91,8 +91,8 @@
 
 // Close ends the list and its control.
 func (l *VMList) Close() {
-	l.srv.stop()
-	l.control.stop()
+	l.srv.close()
+	l.control.close()
 }
 
 // SetFaults replaces the standing faults.
