Let the stand-in engine's first token come with the end of the prefill

Real engines compute the first output token in the step that ends the prefill; the stand-in took one more step, so first-token times were a step too long.

--- a/modules/engine/completions/completions.go
+++ b/modules/engine/completions/completions.go
@@ -72,8 +72,12 @@
 			DialContext:           (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
 			ResponseHeaderTimeout: o.HeaderTimeout,
 			DisableCompression:    true,
-			MaxIdleConnsPerHost:   1,
-			IdleConnTimeout:       30 * time.Second,
+			// A daemon holds one connection for each generation, and a token
+			// is about 100 bytes on the wire.
+			ReadBufferSize:      readerBytes,
+			WriteBufferSize:     readerBytes,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     30 * time.Second,
 		}
 	}
 	c := &Client{fresh: transport(), pooled: transport(), header: o.HeaderTimeout}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -200,7 +200,6 @@
 	arrival  uint64
 	poison   bool
 
-	admitted    bool
 	prefillLeft int
 	finish      string // finish reason; "" while it runs
 	end         string // how the stream ends without a finish reason
@@ -467,16 +466,16 @@
 			n := min(g.prefillLeft, budget)
 			budget -= n
 			g.prefillLeft -= n
-			if g.prefillLeft == 0 {
-				e.cache.insert(g.words, now)
-				g.admitted = true
-				if g.n >= g.limit() {
-					e.finish(g, now)
-					continue
-				}
+			if g.prefillLeft > 0 {
+				keep = append(keep, g)
+				continue
+			}
+			// The step that ends the prefill also makes the first token.
+			e.cache.insert(g.words, now)
+			if g.n >= g.limit() {
+				e.finish(g, now)
+				continue
 			}
-			keep = append(keep, g)
-			continue
 		}
 		g.n++
 		e.stats.Generated++
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -284,6 +284,48 @@
 		Expect(standin.CheckAnswer(text(begin("a", "p", 50, ""), 50), whole("p", 50)).Err()).NotTo(HaveOccurred())
 	})
 
+	Describe("load reports", func() {
+		load := func() (l standin.EngineLoad) {
+			GinkgoHelper()
+			res, err := send(http.MethodGet, "/load", "", "")
+			Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			Expect(json.NewDecoder(res.Body).Decode(&l)).To(Succeed())
+			return l
+		}
+		// Guards against reports that are fresher than those of real engines,
+		// which would hide herding onto one replica.
+		It("lag", func() {
+			start(standin.EngineOptions{LoadLag: time.Hour, LoadInterval: time.Millisecond})
+			text(begin("a", "p", 100000, ""), 20)
+			Expect(e.Stats().Running).To(Equal(1))
+			Expect(load().Running).To(BeZero())
+		})
+		It("stay the same when new ones are lost", func() {
+			start(standin.EngineOptions{LoadLag: time.Millisecond, LoadInterval: time.Millisecond})
+			begin("a", "p", 100000, "")
+			Eventually(func() int { return load().Running }).Should(Equal(1))
+			e.SetFaults(standin.EngineFaults{Load: standin.LoadStale})
+			begin("b", "p", 100000, "")
+			Expect(e.Stats().Requests).To(Equal(int64(2)))
+			Consistently(func() int { l := load(); return l.Running + l.Waiting }, "20ms").Should(Equal(1))
+		})
+	})
+
+	It("refuses requests while it loads a version, and says that they did not run", func() {
+		start(standin.EngineOptions{OrderTime: time.Hour})
+		res, err := send(http.MethodPost, "/orders", "", `{"fence":1,"model":"model","version":"v2"}`)
+		Expect(err).NotTo(HaveOccurred())
+		res.Body.Close()
+		res, err = send(http.MethodPost, "/v1/completions", "a", body("p", 1, ""))
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		b, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(string(b)).To(ContainSubstring(`"outcome":"not_run"`))
+	})
+
 	Describe("a bad version", func() {
 		status := func(id string) int {
 			res, err := send(http.MethodPost, "/v1/completions", id, body("p", 5, ""))
