node: drive version moves; demo: move a good and a bad version

The node runs a Mover for each service, elects its owner by rendezvous hashing, keeps records like documents, floods alarms and sends windows of samples straight to the owner over a link that is opened for it. Passing windows from daemon to daemon was ruled out: each would carry the traffic of all, above 4 KB/s.

--- a/control/loop.go
+++ b/control/loop.go
@@ -228,6 +228,8 @@
 		}
 	case node.WriteStore:
 		l.spawn(func() { l.write(ctx, a) })
+	case node.ReadStore:
+		l.spawn(func() { l.read(ctx, a) })
 	case node.PollLoad:
 		l.spawn(func() { l.poll(ctx, a) })
 	case node.ListVMs:
@@ -306,6 +308,16 @@
 	l.Post(node.StoreWrote{Key: a.Key, Value: a.Value, Index: index, Err: err})
 }
 
+func (l *Loop) read(ctx context.Context, a node.ReadStore) {
+	ctx, cancel := context.WithTimeout(ctx, l.o.StoreTimeout)
+	defer cancel()
+	e, err := l.o.Store.Get(ctx, a.Key)
+	if errors.Is(err, store.ErrNotFound) {
+		e, err = store.Entry{Key: a.Key}, nil
+	}
+	l.Post(node.StoreRead{Key: a.Key, Entry: e, Err: err})
+}
+
 func (l *Loop) poll(ctx context.Context, a node.PollLoad) {
 	ctx, cancel := context.WithTimeout(ctx, l.o.PollTimeout)
 	defer cancel()
--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -51,6 +51,13 @@
 	err     error
 }
 
+// silentStore answers no read; the watches under test use OpenStore.
+type silentStore struct{ store.Store }
+
+func (silentStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{}, store.ErrUnavailable
+}
+
 // fakeStore hands each List call to the test. Each client stands for one
 // connection.
 type fakeStore struct {
@@ -126,7 +133,8 @@
 		var mu sync.Mutex
 		clients := 0
 		loop = control.New(control.Options{
-			Node: node.Options{Name: "d1", DataCentre: "dc1", Rand: rand.New(rand.NewPCG(1, 0))},
+			Node:  node.Options{Name: "d1", DataCentre: "dc1", Rand: rand.New(rand.NewPCG(1, 0))},
+			Store: silentStore{},
 			OpenStore: func() (store.Store, error) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -9,12 +9,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/gooseberryroad/gooseberryroad/client"
 	"github.com/gooseberryroad/gooseberryroad/fleet"
+	"github.com/gooseberryroad/gooseberryroad/rollout"
 	"github.com/gooseberryroad/gooseberryroad/standin"
 )
 
@@ -54,7 +57,7 @@
 	d := &demo{f: f, out: out, result: Result{Held: true}}
 	d.say("2 daemons, 4 engines, 2 plain services and a key-value service run on loopback")
 	for _, step := range []func(context.Context) error{
-		d.engineLoss, d.entryLoss, d.order, d.storeOutage,
+		d.engineLoss, d.entryLoss, d.order, d.storeOutage, d.goodMove, d.badMove,
 	} {
 		if err := step(ctx); err != nil {
 			return nil, err
@@ -223,3 +226,96 @@
 	}
 	return nil
 }
+
+// moveTime is how long the demo gives a version move.
+const moveTime = 8 * time.Second
+
+// move asks for a move to the next version, sends short requests until it has
+// ended, and returns the share of them that reached the next version.
+func (d *demo) move(ctx context.Context, from, to string, faults standin.EngineFaults) (*rollout.Report, float64, error) {
+	for range 2 {
+		e, err := d.f.AddEngine(ctx, to)
+		if err != nil {
+			return nil, 0, err
+		}
+		e.SetFaults(faults)
+	}
+	v := fleet.Versions{Serving: from, Next: to, Deadline: time.Now().Add(moveTime), Warm: time.Second}
+	if err := d.f.Apply(ctx, fleet.Service, d.f.Document(v)); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*moveTime)
+	defer cancel()
+	var total atomic.Int64
+	share := func() float64 { return float64(d.reached(to)) / float64(max(total.Load(), 1)) }
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for i := 0; ; i++ {
+		if r := d.report(); r.From == from && r.To == to && (r.Phase == rollout.PhaseDone || r.Phase == rollout.PhaseTakenBack) {
+			wg.Wait()
+			return &r, share(), nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			r := d.report()
+			return &r, share(), nil
+		}
+		wg.Go(func() {
+			total.Add(1)
+			d.short(ctx, i)
+		})
+	}
+}
+
+// reached counts the requests that engines of a version received.
+func (d *demo) reached(version string) int64 {
+	var n int64
+	for _, e := range d.f.Engines {
+		if e.Version == version {
+			n += e.Stats().Requests
+		}
+	}
+	return n
+}
+
+// short sends a short request. What becomes of it is counted at the engines.
+func (d *demo) short(ctx context.Context, i int) {
+	c := client.New(client.Options{Addresses: d.f.Callers(i % 2), Key: fleet.AccountKey(1)})
+	defer c.Close()
+	_, _ = c.Complete(ctx, client.Request{Model: fleet.Model, Prompt: fmt.Sprintf("a line for tag %d", i), MaxTokens: 20})
+}
+
+func (d *demo) report() rollout.Report {
+	if v := d.f.Live()[0].Loop().Snapshot().Services[fleet.Service]; v != nil {
+		return v.Move
+	}
+	return rollout.Report{}
+}
+
+func (d *demo) goodMove(ctx context.Context) error {
+	began := time.Now()
+	r, _, err := d.move(ctx, "v1", "v2", standin.EngineFaults{})
+	if err != nil {
+		return err
+	}
+	took := time.Since(began)
+	d.check(Check{Name: "good_version_moves_in_time", Held: r.Phase == rollout.PhaseDone && took <= moveTime+time.Second, Figure: took.Seconds(), Unit: "s",
+		Detail: fmt.Sprintf("v2 %v of %v allowed; %s", r.Phase, moveTime, r.Reason)})
+	return d.f.Apply(ctx, fleet.Service, d.f.Document(fleet.Versions{Serving: "v2"}))
+}
+
+// maxBadShare bounds the requests that a bad version may get.
+const maxBadShare = 0.05
+
+func (d *demo) badMove(ctx context.Context) error {
+	r, share, err := d.move(ctx, "v2", "v3", standin.EngineFaults{BadVersions: map[string]standin.BadVersion{"v3": {Mode: standin.BadFails}}})
+	if err != nil {
+		return err
+	}
+	d.check(Check{Name: "bad_version_rolled_back", Held: r.Phase == rollout.PhaseTakenBack && share <= maxBadShare, Figure: 100 * share, Unit: "% share",
+		Detail: fmt.Sprintf("v3 %v; %s", r.Phase, r.Reason)})
+	return nil
+}
--- a/node/events.go
+++ b/node/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/rollout"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/vmlist"
 )
@@ -32,6 +33,14 @@
 	Err   error
 }
 
+// StoreRead is the result of a ReadStore action. An Entry with index 0 means
+// that the key does not exist.
+type StoreRead struct {
+	Key   string
+	Entry store.Entry
+	Err   error
+}
+
 // VMsListed is a reading of the platform's list of VMs.
 type VMsListed struct {
 	VMs []vmlist.VM
@@ -72,14 +81,7 @@
 }
 
 // Sample is one observation for the judgement of versions.
-type Sample struct {
-	Service, Version, Route, Upstream string
-	At                                time.Time
-	Failed, Crashed, Truncated, Empty bool
-	FirstToken, BetweenTokens         time.Duration
-	Load                              float64
-	Poison, UpstreamLost              bool
-}
+type Sample = rollout.Sample
 
 // Drain stops new work at this daemon.
 type Drain struct{}
@@ -92,6 +94,7 @@
 
 func (StoreListed) event()     {}
 func (StoreWrote) event()      {}
+func (StoreRead) event()       {}
 func (VMsListed) event()       {}
 func (LoadReported) event()    {}
 func (UpstreamRefused) event() {}
@@ -124,6 +127,9 @@
 	Index uint64
 }
 
+// ReadStore asks for one key and a StoreRead event.
+type ReadStore struct{ Key string }
+
 // PollLoad asks for a load report and a LoadReported event.
 type PollLoad struct {
 	Driver, Address string
@@ -141,6 +147,7 @@
 func (WatchStore) action()   {}
 func (UnwatchStore) action() {}
 func (WriteStore) action()   {}
+func (ReadStore) action()    {}
 func (PollLoad) action()     {}
 func (ListVMs) action()      {}
 func (Explain) action()      {}
--- a/node/node.go
+++ b/node/node.go
@@ -82,8 +82,13 @@
 	// moves are the entries of moves/ by key, passed on like documents.
 	moves     map[string]store.Entry
 	movesHash uint64
-	watches   map[string]*watch
-	watchSeq  uint64
+	// movesListed is set once a whole list of moves/ was read.
+	movesListed bool
+	movers      map[string]*move
+	nextUsable  time.Time
+	heldWindows []heldWindow
+	watches     map[string]*watch
+	watchSeq    uint64
 	// isElected is the choice of watchers, made again at electAt.
 	isElected bool
 	electAt   time.Time
@@ -113,7 +118,8 @@
 		Address: o.PeerAddress, Incarnation: o.Incarnation}
 	n := &Node{
 		members: membership.NewMembers(o.Members), peers: newPeers(), moves: map[string]store.Entry{},
-		o: o, revs: revision.NewSet(), ups: membership.NewUpstreams(o.Upstreams),
+		movers: map[string]*move{},
+		o:      o, revs: revision.NewSet(), ups: membership.NewUpstreams(o.Upstreams),
 		watches: map[string]*watch{}, polls: map[string]*poll{}, dirty: map[string]bool{},
 	}
 	for _, prefix := range watchedPrefixes {
@@ -134,6 +140,10 @@
 		out = n.listed(now, ev)
 	case StoreWrote:
 		out = n.wrote(now, ev)
+	case StoreRead:
+		out = n.moveRead(now, ev)
+	case Sampled:
+		out = n.sampled(now, ev.Sample)
 	case VMsListed:
 		out = n.vmsListed(now, ev)
 	case LoadReported:
@@ -170,6 +180,7 @@
 	out := n.tickPeers(now)
 	out = append(out, n.tickWatches(now)...)
 	out = append(out, n.tickPolls(now)...)
+	out = append(out, n.tickMoves(now)...)
 	n.refreshStates(now)
 	return out
 }
@@ -178,7 +189,7 @@
 // that sent it, or empty.
 func (n *Node) offer(now time.Time, e store.Entry, source, from string) []Action {
 	if strings.HasPrefix(e.Key, MovesPrefix) {
-		return n.offerMove(e, from)
+		return n.offerMove(now, e, from)
 	}
 	outcome, r := n.revs.Offer(e)
 	switch outcome {
@@ -189,7 +200,8 @@
 		if r.Deleted() {
 			text = fmt.Sprintf("revision %d of team %s deletes the service; received from %s", r.Revision, r.Envelope.Team, source)
 		}
-		return append([]Action{Explain{Subject: "service/" + r.Service, Text: text}}, n.announce(e.Key, from)...)
+		out := append([]Action{Explain{Subject: "service/" + r.Service, Text: text}}, n.announce(e.Key, from)...)
+		return append(out, n.moveAccepted(now, r)...)
 	case revision.Rejected:
 		n.changed = true
 		return []Action{Explain{Subject: "service/" + r.Service, Text: fmt.Sprintf(
@@ -200,14 +212,14 @@
 }
 
 // offerMove keeps the newest entry of a move.
-func (n *Node) offerMove(e store.Entry, from string) []Action {
+func (n *Node) offerMove(now time.Time, e store.Entry, from string) []Action {
 	old := n.moves[e.Key]
 	if e.Index <= old.Index {
 		return nil
 	}
 	n.movesHash ^= moveHash(old) ^ moveHash(e)
 	n.moves[e.Key] = e
-	return n.announce(e.Key, from)
+	return append(n.announce(e.Key, from), n.moveStored(now, e)...)
 }
 
 // setKnown passes the upstreams of all documents in force to the table of
--- a/node/peers.go
+++ b/node/peers.go
@@ -103,6 +103,7 @@
 	}
 	n.changed = true
 	out := []Action{Explain{Subject: "peer/" + name, Text: "linked to " + name + " in " + ev.Peer.DataCentre}}
+	out = append(out, n.flushWindows(name)...)
 	return append(out, n.digest(now, name, l, true))
 }
 
@@ -298,6 +299,9 @@
 	case Notice:
 		return n.notice(now, m, ev.From)
 	case Direct:
+		if m.Topic == TopicSamples {
+			return n.observed(now, m.Body)
+		}
 		return []Action{Received{From: ev.From, Topic: m.Topic, Body: m.Body}}
 	}
 	return nil
@@ -464,6 +468,9 @@
 	n.peers.seen[id] = now
 	var out []Action
 	if from != "" {
+		if m.Topic == TopicAlarm {
+			out = append(out, n.alarmed(now, m.Body)...)
+		}
 		out = append(out, Received{From: from, Topic: m.Topic, Body: m.Body})
 	}
 	for _, name := range n.linkNames() {
--- a/node/publish.go
+++ b/node/publish.go
@@ -4,7 +4,6 @@
 	"maps"
 	"time"
 
-	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/revision"
 )
 
@@ -48,7 +47,10 @@
 func (n *Node) view(now time.Time, r *revision.Record) *ServiceView {
 	v := &ServiceView{
 		Doc: r.Doc, Revision: r.Revision, Text: r.Envelope.Document, Author: author(r),
-		Shares: shares(r.Doc), Upstreams: make([]UpstreamView, len(r.Doc.Upstreams)),
+		Shares: n.shares(r), Upstreams: make([]UpstreamView, len(r.Doc.Upstreams)),
+	}
+	if m := n.movers[r.Service]; m != nil {
+		v.Move, v.Replicas = m.mover.Status(), maps.Clone(m.replicas)
 	}
 	for i, u := range r.Doc.Upstreams {
 		load, incarnation, at := n.ups.Reported(u.Address)
@@ -61,10 +63,13 @@
 	return v
 }
 
-// shares gives all new requests to the serving version. The rollout of a next
-// version replaces this.
-func shares(s *document.Service) map[string]float64 {
-	return map[string]float64{s.Versions.Serving: 1}
+// shares are those that the Mover set last, or all for the serving version
+// while it has set none.
+func (n *Node) shares(r *revision.Record) map[string]float64 {
+	if m := n.movers[r.Service]; m != nil && len(m.shares) > 0 {
+		return maps.Clone(m.shares)
+	}
+	return map[string]float64{r.Doc.Versions.Serving: 1}
 }
 
 func author(r *revision.Record) Author {
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/rollout"
 )
 
 // UpstreamState is what the daemon believes about an upstream.
@@ -78,6 +79,8 @@
 	Author Author
 	// Shares is the share of new requests for each version; they sum to 1.
 	Shares map[string]float64
+	// Move is the state of the version move, as this daemon knows it.
+	Move rollout.Report
 	// Upstreams are in the document's order.
 	Upstreams []UpstreamView
 	// Replicas limits a version to the named upstreams while a move begins;
--- a/node/watch.go
+++ b/node/watch.go
@@ -124,6 +124,9 @@
 			}
 		}
 	}
+	if ev.Err == nil && ev.Prefix == MovesPrefix {
+		out = append(out, n.movesAbsent(now)...)
+	}
 	w := n.watches[ev.Prefix]
 	if w == nil || w.id == 0 || w.id != ev.Watch {
 		return out
@@ -159,7 +162,10 @@
 
 func (n *Node) wrote(now time.Time, ev StoreWrote) []Action {
 	if ev.Err != nil || ev.Index == 0 {
+		if strings.HasPrefix(ev.Key, MovesPrefix) {
+			return n.moveFailed(now, ev.Key, ev.Err)
+		}
 		return nil
 	}
-	return n.offer(now, store.Entry{Key: ev.Key, Value: ev.Value, Index: ev.Index}, "the operator API of this daemon", "")
+	return n.offer(now, store.Entry{Key: ev.Key, Value: ev.Value, Index: ev.Index}, "a write of this daemon", "")
 }
