recovery, entry: any version until a token is delivered; avoid lost upstreams

Cause: a request of which nothing was delivered was retried with the version of its first attempt. A version whose replicas all answer 500 failed its callers although another version served. The driver for completions reports a failed connection as a refusal with status 503, which counted as an overload answer. After an engine was paused, each request of the daemon found out by itself.

Change: attempts before the first token take any version by share. A dial error is a broken connection, whatever else the driver calls it. An upstream that lost an attempt is avoided by the daemon's other requests for 2 s if another one is left.

Pinning the first version until it has no replica left was ruled out: the share of a bad version falls only after evidence, and until then its callers fail.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,7 @@
 	draining atomic.Bool
 	held     heldBytes
 	inflight inflight
+	avoided  avoided
 	pacer    pacer
 	cancels  canceller
 
@@ -161,6 +162,7 @@
 	}
 	e.held.accounts = map[string]int64{}
 	e.inflight.n = map[string]int{}
+	e.avoided.until = map[string]time.Time{}
 	e.pacer = pacer{e: e, p: recovery.NewPacer(o.Now(), o.Pacer), waiting: map[uint64]chan<- struct{}{}}
 	e.cancels.e = e
 	e.m.init(e)
@@ -343,6 +345,37 @@
 	return f.n[upstream]
 }
 
+// avoidFor is how long an upstream that lost an attempt of this daemon is
+// avoided by its other requests: the reports that show its state come later.
+const avoidFor = 2 * time.Second
+
+// avoided holds the upstreams that lost an attempt a moment ago.
+type avoided struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (a *avoided) add(upstream string, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.until[upstream] = until
+}
+
+// names returns the upstreams to avoid now, with those given.
+func (a *avoided) names(now time.Time, exclude []string) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	names := exclude
+	for name, until := range a.until {
+		if until.After(now) {
+			names = append(names[:len(names):len(names)], name)
+		} else {
+			delete(a.until, name)
+		}
+	}
+	return names
+}
+
 // pacer shares a recovery.Pacer between the generations.
 type pacer struct {
 	e       *Entry
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -494,6 +494,55 @@
 	})
 })
 
+var _ = Describe("many requests", func() {
+	// Guards against answers that are crossed, cut or mixed (P1, P2, P4) while
+	// one engine dies and another is paused, twice.
+	It("get their own whole answers while two engines are lost at a time", func() {
+		const n, total = 40, 150
+		f := newFleet(5, total)
+		each := func(change func(e *fakeEngine)) {
+			for i := range 5 {
+				f.at(address(i)).set(change)
+			}
+		}
+		each(func(e *fakeEngine) { e.allowed = 10 })
+		d := newDaemon(f, snapshot(5, nil), nil)
+		var wg sync.WaitGroup
+		texts := make([]string, n)
+		for i := range n {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				body := fmt.Sprintf(`{"model":"dedication-7b","stream":true,"prompt":"#%d"}`, i)
+				s := read(d.send(ctx, "/v1/completions", nil, []byte(body)))
+				last, done := s.rest()
+				Expect(done).To(BeTrue(), last.data)
+				texts[i] = s.text
+			}()
+		}
+		pace := time.NewTicker(20 * time.Millisecond)
+		defer pace.Stop()
+		for step := 10; step <= total; step++ {
+			<-pace.C
+			each(func(e *fakeEngine) { e.allowed = step })
+			switch step {
+			case 30:
+				f.at(address(0)).kill()
+				f.at(address(1)).set(func(e *fakeEngine) { e.paused = true })
+			case 90:
+				f.at(address(1)).set(func(e *fakeEngine) { e.paused = false })
+				f.at(address(2)).kill()
+				f.at(address(3)).set(func(e *fakeEngine) { e.paused = true })
+			}
+		}
+		wg.Wait()
+		for i, text := range texts {
+			Expect(text).To(Equal(answerText(fmt.Sprintf("v1#%d", i), total)))
+		}
+	})
+})
+
 var _ = Describe("refusals", func() {
 	// Guards against a refusal without a type, or with a false outcome.
 	DescribeTable("say what happened", func(header map[string]string, body string, status int, code string) {
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -45,6 +45,8 @@
 	adoptedElsewhere chan struct{}
 	conns            map[int]context.CancelFunc // by connection number
 	tries            map[int]*try               // by attempt number
+	last             *try                       // the last attempt begun
+	moves            int                        // at the last Place
 	place            recovery.Place             // the last one
 	choice           routing.Choice             // the last one
 	queue            trace.Span
@@ -226,6 +228,7 @@
 		attribute.String("upstream", t.upstream), attribute.String("version", t.version), attribute.Int("attempt", t.number))...))
 	g.e.inflight.add(t.upstream, 1)
 	g.tries[t.number] = t
+	g.last = t
 	if g.win != nil {
 		g.win.move(&t.attempt)
 	}
@@ -379,6 +382,7 @@
 func (g *generation) act(a recovery.Action) {
 	switch a := a.(type) {
 	case recovery.Place:
+		g.noteLoss()
 		g.queue.End()
 		_, g.queue = g.e.tracer.Start(g.ctx, "queue", trace.WithAttributes(attribute.Int("attempt", a.Attempt)))
 		g.place = a
@@ -422,6 +426,18 @@
 	}
 }
 
+// noteLoss lets other requests avoid the upstream that just lost an attempt.
+func (g *generation) noteLoss() {
+	moves := g.machine.Stats().Moves
+	if moves == g.moves {
+		return
+	}
+	g.moves = moves
+	if g.last != nil && !g.last.refused {
+		g.e.avoided.add(g.last.upstream, g.e.o.Now().Add(avoidFor))
+	}
+}
+
 // choose answers the last Place.
 func (g *generation) choose() {
 	p := g.place
@@ -430,9 +446,15 @@
 		g.step(recovery.NoUpstream{Attempt: p.Attempt, VersionGone: true})
 		return
 	}
-	c, ok := routing.Pick(g.rnd, view, routing.Request{
-		DataCentre: g.e.o.DataCentre, Region: g.e.o.Region, Version: p.Version, Exclude: p.Exclude, Sent: g.e.inflight.get,
-	})
+	r := routing.Request{
+		DataCentre: g.e.o.DataCentre, Region: g.e.o.Region, Version: p.Version, Sent: g.e.inflight.get,
+		Exclude: g.e.avoided.names(g.e.o.Now(), p.Exclude),
+	}
+	c, ok := routing.Pick(g.rnd, view, r)
+	if !ok && len(r.Exclude) > len(p.Exclude) {
+		r.Exclude = p.Exclude
+		c, ok = routing.Pick(g.rnd, view, r)
+	}
 	if !ok {
 		g.step(recovery.NoUpstream{Attempt: p.Attempt, VersionGone: p.Version != "" && !routing.HasVersion(view, p.Version)})
 		return
@@ -519,12 +541,14 @@
 	switch {
 	case errors.As(err, &finished):
 		return recovery.Finished{Attempt: attempt, Conn: conn, Reason: finished.Reason}
-	case errors.As(err, &refused):
-		return recovery.Refused{Attempt: attempt, Conn: conn, Status: refused.Status, RetryAfter: refused.RetryAfter, NotRun: refused.NotRun}
 	case errors.Is(err, engine.ErrUnknownGeneration):
 		return recovery.UnknownGeneration{Attempt: attempt, Conn: conn}
 	case errors.As(err, &dial) && dial.Op == "dial":
+		// A driver may also call this a refusal. It is no answer of an
+		// overloaded engine: no connection was made.
 		return recovery.Broken{Attempt: attempt, Conn: conn, NotRun: true}
+	case errors.As(err, &refused):
+		return recovery.Refused{Attempt: attempt, Conn: conn, Status: refused.Status, RetryAfter: refused.RetryAfter, NotRun: refused.NotRun}
 	}
 	return recovery.Broken{Attempt: attempt, Conn: conn}
 }
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -178,10 +178,9 @@
 	maybeRun int
 	// fruitless counts attempts in a row, and resumes connections in a row,
 	// that gave no token.
-	fruitless  int
-	resumes    int
-	waits      int
-	anyVersion bool
+	fruitless int
+	resumes   int
+	waits     int
 
 	lastConn    int
 	conn, probe int // 0: none
@@ -367,7 +366,9 @@
 	g.started = false
 	g.status = placing
 	version := g.version
-	if g.anyVersion {
+	if g.next == 0 {
+		// Nothing was delivered, so any version may run the request: a
+		// version whose replicas all fail must not fail its callers.
 		version = ""
 	}
 	return append(out, Place{
@@ -409,7 +410,7 @@
 	g.version, g.upstream = ev.Version, ev.Upstream
 	g.started = true
 	g.maybeRun++
-	g.waitSince, g.waits, g.anyVersion = time.Time{}, 0, false
+	g.waitSince, g.waits = time.Time{}, 0
 	g.status, g.phase = running, queued
 	g.heard, g.limit, g.forgiven = now, time.Time{}, false
 	g.gaps = gaps{}
@@ -436,10 +437,6 @@
 	if g.waitSince.IsZero() {
 		g.waitSince = now
 	}
-	if ev.VersionGone && g.next == 0 && g.version != "" && !g.anyVersion {
-		g.anyVersion = true
-		return g.place(now, nil)
-	}
 	if now.Sub(g.waitSince) >= g.o.PlaceWait {
 		code := CodeNoUpstream
 		if ev.VersionGone && g.next > 0 {
