recovery, entry, cursor: bound short attempts only, probe continuations sooner

Cause: all attempts of a generation together were bounded by 8, so an answer of many minutes could fail after 8 engine losses although each attempt made progress.

Change: only attempts with fewer than 32 tokens count towards the bound. The wait for an engine to accept a continuation is halved. Held bytes are exported for each account.

--- a/cursor/cursor.go
+++ b/cursor/cursor.go
@@ -130,7 +130,7 @@
 	if len(text) > maxLength {
 		return Cursor{}, ErrInvalid
 	}
-	raw, err := base64.RawURLEncoding.DecodeString(text)
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil || len(raw) < 1+saltSize+4+16 || raw[0] != format {
 		return Cursor{}, ErrInvalid
 	}
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -143,6 +143,7 @@
 		return
 	}
 	defer e.leave(g)
+	e.exportAccount(cl.account)
 	if cl.cursor == nil {
 		e.began()
 	} else {
@@ -275,7 +276,8 @@
 		case <-ctx.Done():
 			g.leave()
 		case <-changed:
-			if g.win.failed() != nil {
+			if err := g.win.failed(); err != nil {
+				g.log.Info("caller cannot be written to", "err", err)
 				g.leave()
 			} else {
 				g.reading()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,13 @@
 	s.NewGauge("gooseberryroad_entry_cancels_pending", func() float64 { return float64(e.cancels.pending.Load()) })
 }
 
+// exportAccount exports the bytes held for an account.
+func (e *Entry) exportAccount(account string) {
+	e.set.GetOrCreateGauge(fmt.Sprintf("gooseberryroad_entry_held_bytes_account{account=%q}", account), func() float64 {
+		return float64(e.held.of(account))
+	})
+}
+
 // answered counts a finished request. The code is one of a fixed set, so the
 // number of series is bounded.
 func (e *Entry) answered(code string) {
@@ -80,6 +87,12 @@
 	return out
 }
 
+func (h *heldBytes) of(account string) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.accounts[account]
+}
+
 func (h *heldBytes) sum() int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -45,6 +46,7 @@
 		var b strings.Builder
 		d.Metrics().WritePrometheus(&b)
 		Expect(b.String()).To(ContainSubstring("gooseberryroad_entry_stalls_total 1"))
+		Expect(b.String()).To(ContainSubstring(fmt.Sprintf("gooseberryroad_entry_held_bytes_account{account=\"crew\"} %d", h.Total)))
 		_, done := s.fast().rest()
 		Expect(done).To(BeTrue())
 		Expect(s.text == answerText("v1", total)).To(BeTrue())
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -41,7 +41,7 @@
 // Options are the bounds of recovery. Zero fields take their defaults.
 type Options struct {
 	// QueuedSilence bounds the wait for an engine to accept Start before it is
-	// probed.
+	// probed; continuations wait half of it.
 	QueuedSilence time.Duration
 	// PrefillSilence and PrefillPerByte of prompt and prefix bound the wait
 	// for the first token of an attempt before the engine is probed.
@@ -70,10 +70,11 @@
 	ExcludeFor time.Duration
 	// PlaceWait bounds the wait for any upstream.
 	PlaceWait time.Duration
-	// FruitlessStarts bounds attempts in a row that gave no token, MaxStarts
-	// all attempts.
+	// FruitlessStarts bounds attempts in a row that gave no token, ShortStarts
+	// all attempts that gave few. Attempts that made progress are not bounded:
+	// a generation of many minutes may outlive many engines.
 	FruitlessStarts int
-	MaxStarts       int
+	ShortStarts     int
 	// HeldLimit bounds the backlog of a stalled caller of an engine that does
 	// not resume, together with the delivered text, in bytes of memory.
 	HeldLimit int
@@ -113,7 +114,7 @@
 	duration(&o.ExcludeFor, 5*time.Second)
 	duration(&o.PlaceWait, 3*time.Second)
 	number(&o.FruitlessStarts, 4)
-	number(&o.MaxStarts, 8)
+	number(&o.ShortStarts, 8)
 	number(&o.HeldLimit, 24<<10)
 	number(&o.PriorityNew, 10)
 	return o
@@ -181,6 +182,9 @@
 	fruitless int
 	resumes   int
 	waits     int
+	// short counts attempts that gave fewer than shortTokens, tokens those
+	// that the current attempt gave.
+	short, tokens int
 
 	lastConn    int
 	conn, probe int // 0: none
@@ -416,7 +420,8 @@
 	g.gaps = gaps{}
 	g.stats.Starts++
 	g.fruitless++
-	g.resumes = 0
+	g.short++
+	g.tokens, g.resumes = 0, 0
 	g.lastConn++
 	g.conn, g.probe, g.fresh = g.lastConn, 0, true
 	priority := g.o.PriorityNew
@@ -520,6 +525,9 @@
 	g.phase, g.heard, g.limit, g.forgiven = decode, now, time.Time{}, false
 	g.fruitless, g.resumes = 0, 0
 	g.next++
+	if g.tokens++; g.tokens == shortTokens {
+		g.short--
+	}
 	if g.stalled {
 		g.backlog.Append(ev.Text)
 		if g.backlog.Size()+g.text.Size() > g.o.HeldLimit {
@@ -587,6 +595,10 @@
 // maxResumes bounds resumed connections in a row that gave no token.
 const maxResumes = 2
 
+// shortTokens is the number of tokens from which an attempt counts as progress,
+// about a second of output.
+const shortTokens = 32
+
 // notRun records that the engine never began the current attempt.
 func (g *Generation) notRun() {
 	g.maybeRun--
@@ -643,7 +655,7 @@
 		fruitless *= 2
 	}
 	switch {
-	case g.fruitless >= fruitless || g.stats.Starts >= g.o.MaxStarts:
+	case g.fruitless >= fruitless || g.short >= g.o.ShortStarts:
 		return g.fail(out, CodeRetries, 503, time.Second)
 	case g.fruitless <= 1:
 		return g.place(now, out)
@@ -791,9 +803,10 @@
 	var d, extra time.Duration
 	switch g.phase {
 	case queued:
-		d, extra = g.o.QueuedSilence, g.o.ProbeSilenceMax
-		if g.next == 0 {
-			extra = g.o.QueuePatience
+		d, extra = g.o.QueuedSilence, g.o.QueuePatience
+		if g.next > 0 {
+			// The caller of a continuation has waited before.
+			d, extra = d/2, g.o.ProbeSilenceMax
 		}
 	case prefill:
 		d = g.o.PrefillSilence + time.Duration(g.r.PromptBytes+g.text.Len())*g.o.PrefillPerByte
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -166,6 +166,16 @@
 		Entry("prefill of 400 KB", 400_000, true, 3*time.Second),
 	)
 
+	// Guards against a continuation that waits a second for an engine that was
+	// paused a moment ago.
+	It("of an engine that does not accept a continuation is noticed in 0.7 s", func() {
+		d := begun(resumes, recovery.Options{}, 20)
+		d.step(recovery.UnknownGeneration{Attempt: 1, Conn: 1})
+		d.step(recovery.Placed{Attempt: 2, Upstream: "e1", Version: "v1"})
+		Expect(d.tick() + d.tick()).To(BeNumerically("<=", 700*time.Millisecond))
+		Expect(d.last).To(placesFor(3))
+	})
+
 	// Guards against detection, re-dispatch and prefill beyond 4 s even for
 	// the slowest stream and an engine that answers but gives no token.
 	It("leaves a second for the prefill in the worst case", func() {
@@ -387,6 +397,19 @@
 		Expect(d.g.Stats().Starts).To(Equal(8))
 	})
 
+	// Guards against a bound that ends a long answer which outlives many
+	// engines.
+	It("does not bound attempts that make progress", func() {
+		d := begun(resumes, recovery.Options{}, 40)
+		for range 30 {
+			d.step(recovery.UnknownGeneration{Attempt: d.check.last, Conn: d.check.lastConn})
+			d.step(recovery.Placed{Attempt: d.check.lastPlace, Upstream: "e0", Version: "v1"})
+			d.step(recovery.Opened{Attempt: d.check.last, Conn: d.check.lastConn})
+			d.tokens(d.check.last, d.check.lastConn, 40, time.Millisecond)
+		}
+		Expect(d.check.end).To(BeNil())
+	})
+
 	// Guards against not_run said after an engine may have begun (P5).
 	DescribeTable("fails with a true outcome", func(ev recovery.Event, outcome recovery.Outcome) {
 		d := drive(resumes, recovery.Options{FruitlessStarts: 1})
