--- a/node/node_test.go
+++ b/node/node_test.go
@@ -53,6 +53,20 @@
 		Expect(revisions(ns, "a")).To(all(rev))
 	})
 
+	// Guards against a status that never says that a document is in force
+	// everywhere. That it does not say so too early is checked after every
+	// event.
+	It("knows at every daemon within the bound that all have a document", func() {
+		ns := cluster(s, 9, 4)
+		s.run(10 * time.Second)
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(bound)
+		for _, n := range ns {
+			Expect(n.Snapshot().Members).To(HaveLen(9))
+			Expect(n.Snapshot().Members).To(HaveEach(HaveField("Applied", BeNumerically(">=", rev))))
+		}
+	})
+
 	// Guards against all daemons holding watches, or none in a data centre.
 	It("holds two watches per data centre and prefix", func() {
 		cluster(s, 9, 2)
--- a/node/property_test.go
+++ b/node/property_test.go
@@ -36,8 +36,9 @@
 				continue
 			}
 			rev := s.put("config/"+name, value)
+			delete(s.latest, name)
 			if ok {
-				good[name] = rev
+				good[name], s.latest[name] = rev, rev
 			}
 			// The answer may be lost, or its event dropped.
 			if n := pick(); s.rnd.IntN(2) == 0 && !s.storeCut[n.name] {
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -32,6 +32,8 @@
 	entries map[string]store.Entry
 	history [][]store.Entry
 	waiting []*simWatch
+	// latest is the last revision of each service whose document is good.
+	latest map[string]uint64
 	// faults
 	loss      float64
 	maxDelay  time.Duration
@@ -88,8 +90,8 @@
 }
 
 func newSim(seed uint64) *sim {
-	return &sim{rnd: rand.New(rand.NewPCG(seed, 7)), now: simStart, nodes: map[string]*simNode{},
-		entries: map[string]store.Entry{}, cut: map[[2]string]bool{},
+	return &sim{rnd: rand.New(rand.NewPCG(seed, 7)), now: simStart, nodes: map[string]*simNode{}, index: 1,
+		entries: map[string]store.Entry{}, latest: map[string]uint64{}, cut: map[[2]string]bool{},
 		storeCut: map[string]bool{}, silent: map[string]bool{}, engines: map[string]*engine.Load{},
 		refused: map[string]bool{}, sent: map[string]int{}, maxDelay: 5 * time.Millisecond}
 }
@@ -209,6 +211,12 @@
 			panic(fmt.Sprintf("daemon %s: snapshot of %s has revision %d instead of %d", n.name, name, v.Revision, rev))
 		}
 	}
+	for name, rev := range s.latest {
+		if rev <= n.applied && n.revs.RevisionOf(name) < rev {
+			panic(fmt.Sprintf("daemon %s claims all documents up to %d and has revision %d of %s instead of %d",
+				n.name, n.applied, n.revs.RevisionOf(name), name, rev))
+		}
+	}
 	if s.check != nil {
 		s.check(n)
 	}
