--- a/entry/generation.go
+++ b/entry/generation.go
@@ -435,7 +435,7 @@
 		return
 	}
 	g.moves = moves
-	if g.last != nil && !g.last.refused {
+	if g.last != nil && g.last.status == 0 {
 		g.e.avoided.add(g.last.upstream, g.e.o.Now().Add(avoidFor))
 	}
 }
