entry: admit requests by the engines' memory and by account

Cause: nothing kept the daemons from sending an engine more than its memory holds; engines died, their load moved on and killed the next ones. Change: each service has a fair admission queue, and each upstream an in-flight limit in bytes. The bytes of a token are learned from load reports.

The caller client no longer repeats a refused request by itself.

--- a/client/client.go
+++ b/client/client.go
@@ -143,12 +143,14 @@
 	broken  time.Time // when the connection broke, zero while it works
 }
 
-// retries reports whether the request may be sent again after err. A daemon
-// that drains says so with not_run and 503.
+// retries reports whether the request may be sent again after err. A refusal
+// ends it, except by a daemon that shuts down, and except while the rest of an
+// answer is fetched: the caller keeps its cursor.
 func (s *session) retries(err error) bool {
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
-		return refusal.Outcome == "not_run" && refusal.Status == http.StatusServiceUnavailable
+		return refusal.Status == http.StatusServiceUnavailable && refusal.Outcome == "not_run" &&
+			(refusal.Code == "draining" || s.cursor != "")
 	}
 	return true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,8 @@
 	ids      atomic.Uint64
 	draining atomic.Bool
 	held     heldBytes
-	inflight inflight
+	inflight attemptCounts
+	gates    gates
 	avoided  avoided
 	pacer    pacer
 	cancels  canceller
@@ -164,6 +165,7 @@
 	}
 	e.held.accounts = map[string]int64{}
 	e.inflight.n = map[string]int{}
+	e.gates = gates{e: e, by: map[string]*gate{}}
 	e.avoided.until = map[string]time.Time{}
 	e.pacer = pacer{e: e, p: recovery.NewPacer(o.Now(), o.Pacer), waiting: map[uint64]chan<- struct{}{}}
 	e.cancels.e = e
@@ -327,13 +329,13 @@
 	return hex.EncodeToString(b[:])
 }
 
-// inflight counts this daemon's attempts by upstream.
-type inflight struct {
+// attemptCounts counts this daemon's attempts by upstream.
+type attemptCounts struct {
 	mu sync.Mutex
 	n  map[string]int
 }
 
-func (f *inflight) add(upstream string, d int) {
+func (f *attemptCounts) add(upstream string, d int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.n[upstream] += d; f.n[upstream] == 0 {
@@ -341,7 +343,7 @@
 	}
 }
 
-func (f *inflight) get(upstream string) int {
+func (f *attemptCounts) get(upstream string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.n[upstream]
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -7,6 +7,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -75,6 +76,7 @@
 	first, last time.Time
 	tokens      int
 	status      int // of the engine's refusal, 0 if it did not refuse
+	held        *holding
 }
 
 // outcome is that of an attempt that another one follows.
@@ -143,6 +145,15 @@
 		return
 	}
 	defer e.leave(g)
+	// A generation that is continued here runs already and waits for nobody.
+	if cl.cursor == nil {
+		release, r := e.gates.admit(c.Request.Context(), g.id, cl)
+		if r != nil {
+			deny(*r)
+			return
+		}
+		defer release()
+	}
 	e.exportAccount(cl.account)
 	if cl.cursor == nil {
 		e.began()
@@ -223,11 +234,23 @@
 	g.begin(t, attribute.Bool("adopted", true))
 }
 
+// delivered is the number of tokens that the caller holds.
+func (g *generation) delivered() int {
+	switch {
+	case g.machine != nil:
+		return g.machine.Delivered()
+	case g.call.cursor != nil:
+		return g.call.cursor.Next
+	}
+	return 0
+}
+
 // begin opens the accounts of an attempt.
 func (g *generation) begin(t *try, attrs ...attribute.KeyValue) {
 	t.ctx, t.span = g.e.tracer.Start(g.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(append(attrs,
 		attribute.String("upstream", t.upstream), attribute.String("version", t.version), attribute.Int("attempt", t.number))...))
 	g.e.inflight.add(t.upstream, 1)
+	t.held = g.e.gates.hold(g.call, t.upstream, g.delivered())
 	g.tries[t.number] = t
 	g.last = t
 	if g.win != nil {
@@ -239,6 +262,7 @@
 func (g *generation) end(t *try, outcome string) {
 	delete(g.tries, t.number)
 	g.e.inflight.add(t.upstream, -1)
+	g.e.gates.drop(t.held)
 	t.span.SetAttributes(attribute.String("outcome", outcome), attribute.Int("tokens", t.tokens))
 	t.span.End()
 	r := Result{
@@ -320,6 +344,7 @@
 	case recovery.Token:
 		if t := g.tries[ev.Attempt]; t != nil {
 			t.last = g.e.o.Now()
+			t.held.produced()
 			if t.tokens++; t.tokens == 1 {
 				t.first = t.last
 			}
@@ -452,9 +477,11 @@
 		DataCentre: g.e.o.DataCentre, Region: g.e.o.Region, Version: p.Version, Sent: g.e.inflight.get,
 		Exclude: g.e.avoided.names(g.e.o.Now(), p.Exclude),
 	}
+	full := g.e.gates.full(g.call, p.Recovery)
+	r.Exclude = append(slices.Clone(r.Exclude), full...)
 	c, ok := routing.Pick(g.rnd, view, r)
-	if !ok && len(r.Exclude) > len(p.Exclude) {
-		r.Exclude = p.Exclude
+	if !ok && len(r.Exclude) > len(p.Exclude)+len(full) {
+		r.Exclude = append(slices.Clone(p.Exclude), full...)
 		c, ok = routing.Pick(g.rnd, view, r)
 	}
 	if !ok {
--- a/inflight/inflight.go
+++ b/inflight/inflight.go
@@ -83,24 +83,42 @@
 	return max(floor, l.base+growth), true
 }
 
+// Fits reports whether the limit allows a request that will hold the given
+// bytes.
+func (l *Limiter) Fits(now time.Time, bytes int64) bool {
+	limit, known := l.Limit(now)
+	return !known || l.held+bytes <= limit || l.fitsAlone(now, bytes)
+}
+
 // Acquire adds a request that will hold the given bytes. It returns false, and
-// changes nothing, when the limit does not allow it. A request larger than the
-// floor may run alone, or no daemon could ever run it.
+// changes nothing, when the limit does not allow it.
 func (l *Limiter) Acquire(now time.Time, bytes int64) bool {
-	limit, known := l.Limit(now)
-	if known && l.held+bytes > limit && !l.fitsAlone(bytes) {
+	if !l.Fits(now, bytes) {
 		return false
 	}
+	l.Add(now, bytes)
+	return true
+}
+
+// Add counts a request without asking the limit, for one that runs already or
+// that the caller has checked.
+func (l *Limiter) Add(now time.Time, bytes int64) {
 	l.record(now)
 	l.held += bytes
-	return true
 }
 
-// fitsAlone allows one large request when this daemon holds nothing and the
-// last report shows room for it.
-func (l *Limiter) fitsAlone(bytes int64) bool {
-	return l.held == 0 && !l.reported.IsZero() &&
-		l.report.HeldBytes+bytes*int64(l.daemons) <= int64(BudgetShare*float64(l.memory))
+// soloDaemons is how many daemons may start a large request on the same report
+// before the budget is used up.
+const soloDaemons = 2
+
+// fitsAlone allows one request that is larger than this daemon's part when the
+// daemon holds nothing and a fresh report shows room for soloDaemons of them.
+// Without it no daemon could ever run such a request. It is the one exception
+// from the package's bound: more than soloDaemons daemons that start one on the
+// same report use the slack.
+func (l *Limiter) fitsAlone(now time.Time, bytes int64) bool {
+	return l.held == 0 && !l.reported.IsZero() && now.Sub(l.reported) <= MaxReportAge &&
+		l.report.HeldBytes+bytes*int64(min(l.daemons, soloDaemons)) <= int64(BudgetShare*float64(l.memory))
 }
 
 // Release returns the bytes of a finished request.
