--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"os/exec"
 	"sync"
 	"syscall"
@@ -82,7 +83,12 @@
 	cmd := exec.Command(path, args...)
 	cmd.Dir = ts.MkAbs(".")
 	cmd.Env = s.env.Vars
-	cmd.Stderr = ts.Stderr()
+	// A file, because the script's own buffer is not safe for processes that
+	// run beside it.
+	log, err := os.Create(ts.MkAbs(name + ".log"))
+	ts.Check(err)
+	defer log.Close()
+	cmd.Stderr = log
 	out, err := cmd.StdoutPipe()
 	ts.Check(err)
 	ts.Check(cmd.Start())
