--- /dev/null
+++ b/telemetry/page_test.go
@@ -0,0 +1,81 @@
+package telemetry_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// metricName matches a name in a literal. A literal can go on with labels.
+var metricName = regexp.MustCompile(`^gooseberryroad_[a-z0-9_]+`)
+
+// namesInCode returns the metrics that the source of the daemon registers: all
+// string literals that begin with the prefix of metrics.
+func namesInCode(t *testing.T) []string {
+	t.Helper()
+	var names []string
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			if lit, ok := n.(*ast.BasicLit); ok && lit.Kind == token.STRING {
+				if s, err := strconv.Unquote(lit.Value); err == nil {
+					if name := metricName.FindString(s); name != "" {
+						names = append(names, name)
+					}
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Guards against a page for operators that lacks a metric or explains one that
+// no longer exists.
+func TestPageListsAllMetrics(t *testing.T) {
+	code := namesInCode(t)
+	if len(code) == 0 {
+		t.Fatal("no metric was found in the source")
+	}
+	b, err := os.ReadFile("../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var page []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `(gooseberryroad_[a-z0-9_]+)").FindAllStringSubmatch(string(b), -1) {
+		page = append(page, m[1])
+	}
+	slices.Sort(page)
+	for _, name := range code {
+		if !slices.Contains(page, name) {
+			t.Errorf("docs/operators.md lacks the metric %s", name)
+		}
+	}
+	for i, name := range page {
+		if !slices.Contains(code, name) {
+			t.Errorf("docs/operators.md lists %s, which the code does not register", name)
+		}
+		if i > 0 && page[i-1] == name {
+			t.Errorf("docs/operators.md lists %s twice", name)
+		}
+	}
+}
