node: list every 6 s while watching

A watch that returns in time and misses changes was repaired after 30 s only, above the bound of 9 s.

--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -118,6 +119,7 @@
 		eng    *fakeEngine
 		loop   *control.Loop
 		run    func()
+		set    *metrics.Set
 	)
 	BeforeEach(func() {
 		c = &clock{now: time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC), ticks: make(chan time.Time)}
@@ -125,8 +127,10 @@
 		eng = &fakeEngine{polls: make(chan string, 1024)}
 		var mu sync.Mutex
 		clients := 0
+		set = metrics.NewSet()
 		loop = control.New(control.Options{
-			Node: node.Options{Name: "d1", DataCentre: "dc1", Rand: rand.New(rand.NewPCG(1, 0))},
+			Metrics: set,
+			Node:    node.Options{Name: "d1", DataCentre: "dc1", Rand: rand.New(rand.NewPCG(1, 0))},
 			OpenStore: func() (store.Store, error) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -205,6 +209,7 @@
 			Expect(loop.Post(node.Drain{})).To(BeTrue(), fmt.Sprint(i))
 		}
 		Expect(loop.Post(node.Drain{})).To(BeFalse())
+		Expect(set.GetOrCreateCounter("gooseberryroad_control_events_dropped_total").Get()).To(Equal(uint64(1)))
 		run()
 		Eventually(func() bool { return loop.Snapshot().Draining }).Should(BeTrue())
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -36,7 +36,8 @@
 	// this time.
 	ListWait time.Duration
 	// RelistInterval is how often a watcher lists instead of watching, which
-	// repairs a watch that misses changes.
+	// repairs a watch that misses changes. The time for a document to be in
+	// force bounds it too.
 	RelistInterval time.Duration
 	// PollInterval is the time between two load reports of one upstream.
 	PollInterval time.Duration
@@ -62,7 +63,7 @@
 	}
 	def(&o.WatchWait, 3*time.Second)
 	def(&o.ListWait, time.Second)
-	def(&o.RelistInterval, 30*time.Second)
+	def(&o.RelistInterval, 6*time.Second)
 	def(&o.PollInterval, time.Second)
 	def(&o.PollTimeout, 2*time.Second)
 	def(&o.VMInterval, 2*time.Second)
