--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -52,6 +52,13 @@
 	err     error
 }
 
+// silentStore answers no read; the watches under test use OpenStore.
+type silentStore struct{ store.Store }
+
+func (silentStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{}, store.ErrUnavailable
+}
+
 // fakeStore hands each List call to the test. Each client stands for one
 // connection.
 type fakeStore struct {
@@ -131,6 +138,7 @@
 		loop = control.New(control.Options{
 			Metrics: set,
 			Node:    node.Options{Name: "d1", DataCentre: "dc1", Rand: rand.New(rand.NewPCG(1, 0))},
+			Store:   silentStore{},
 			OpenStore: func() (store.Store, error) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -273,6 +273,29 @@
 	case WatchStore:
 		s.listCalls++
 		s.list(&simWatch{n: n, a: a, life: life})
+	case WriteStore:
+		s.after(s.delay(), func() {
+			if s.storeCut[n.name] || s.storeCut[""] {
+				post(s.delay(), StoreWrote{Key: a.Key, Value: a.Value, Err: store.ErrUnavailable})
+				return
+			}
+			ev := StoreWrote{Key: a.Key, Value: a.Value, Err: store.ErrConflict}
+			if s.entries[a.Key].Index == a.Index {
+				ev.Index, ev.Err = s.put(a.Key, a.Value), nil
+			}
+			if s.rnd.Float64() < s.loss {
+				ev.Index, ev.Err = 0, store.ErrUnknown
+			}
+			post(s.delay(), ev)
+		})
+	case ReadStore:
+		s.after(s.delay(), func() {
+			ev := StoreRead{Key: a.Key, Entry: s.entries[a.Key]}
+			if s.storeCut[n.name] || s.storeCut[""] {
+				ev = StoreRead{Key: a.Key, Err: store.ErrUnavailable}
+			}
+			post(s.delay(), ev)
+		})
 	case ListVMs:
 		post(s.delay(), VMsListed{VMs: slices.Clone(s.vms)})
 	case PollLoad:
