--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,8 +51,8 @@
 	Seed uint64
 	// HeldBytes bounds the bytes held for all callers; default 64 MB.
 	HeldBytes int64
-	// WindowBytes bounds the text between an engine stream and its caller;
-	// default 16 KB.
+	// WindowBytes bounds the tokens between an engine stream and its caller;
+	// default 8 KB, which is a minute of output.
 	WindowBytes int
 	// WriteTimeout ends the connection of a caller that reads nothing for so
 	// long; default 2 min. The caller may reconnect with its cursor.
@@ -147,7 +147,7 @@
 	}
 	orDefault(&o.CursorLifetime, 10*time.Minute)
 	orDefault(&o.HeldBytes, 64<<20)
-	orDefault(&o.WindowBytes, 16<<10)
+	orDefault(&o.WindowBytes, 8<<10)
 	orDefault(&o.WriteTimeout, 2*time.Minute)
 	orDefault(&o.AbandonGrace, 15*time.Second)
 	orDefault(&o.RetryShare, 0.1)
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gooseberryroad/gooseberryroad/cursor"
 	"github.com/gooseberryroad/gooseberryroad/recovery"
@@ -28,6 +28,7 @@
 	created  int64
 	position cursor.Cursor // Attempt fields are set for each event
 	buf      []byte
+	start    []byte
 	first    bool // the next chunk is the first of the answer
 }
 
@@ -151,12 +152,6 @@
 	CompletionTokens int `json:"completion_tokens"`
 }
 
-type chatDelta struct {
-	Index        int     `json:"index"`
-	Delta        message `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
 type chatChoice struct {
 	Index        int     `json:"index"`
 	Message      message `json:"message"`
@@ -174,27 +169,68 @@
 	FinishReason *string `json:"finish_reason"`
 }
 
+// head is the part of a chunk that is the same in all chunks of an answer.
+func (w *writer) head() []byte {
+	object, open := "text_completion", `{"index":0,"text":`
+	if w.route == routeChat {
+		object, open = "chat.completion.chunk", `{"index":0,"delta":{"content":`
+	}
+	var b []byte
+	b = append(b, `{"id":`...)
+	b = appendString(b, w.id)
+	b = append(b, `,"object":`...)
+	b = appendString(b, object)
+	b = append(b, `,"created":`...)
+	b = strconv.AppendInt(b, w.created, 10)
+	b = append(b, `,"model":`...)
+	b = appendString(b, w.model)
+	b = append(b, `,"choices":[`...)
+	return append(b, open...)
+}
+
+// chunk renders one event. It appends to the buffer by hand: the encoder of
+// encoding/json grows the stack of the writer, which each slow reader holds.
 func (w *writer) chunk(text, reason string) {
-	var finish *string
-	if reason != "" {
-		finish = &reason
+	if w.start == nil {
+		w.start = w.head()
 	}
-	body := chunkBody{ID: w.id, Created: w.created, Model: w.model}
+	w.buf = append(w.buf, "data: "...)
+	w.buf = append(w.buf, w.start...)
+	w.buf = appendString(w.buf, text)
 	if w.route == routeChat {
-		d := chatDelta{Delta: message{Content: text}, FinishReason: finish}
 		if w.first {
-			d.Delta.Role = "assistant"
+			w.buf = append(w.buf, `,"role":"assistant"`...)
 		}
-		body.Object, body.Choices = "chat.completion.chunk", []any{d}
-	} else {
-		body.Object, body.Choices = "text_completion", []any{textChoice{Text: text, FinishReason: finish}}
+		w.buf = append(w.buf, '}')
 	}
 	w.first = false
-	b, err := json.Marshal(body)
-	if err != nil {
-		panic(fmt.Sprintf("entry: chunk cannot be marshalled: %v", err))
+	w.buf = append(w.buf, `,"finish_reason":`...)
+	if reason == "" {
+		w.buf = append(w.buf, "null"...)
+	} else {
+		w.buf = appendString(w.buf, reason)
+	}
+	w.buf = append(w.buf, "}]}\n\n"...)
+}
+
+const hexDigits = "0123456789abcdef"
+
+// appendString appends a JSON string. Bytes that are not UTF-8 become U+FFFD.
+func appendString(b []byte, s string) []byte {
+	b = append(b, '"')
+	for _, r := range s {
+		switch {
+		case r == '"' || r == '\\':
+			b = append(b, '\\', byte(r))
+		case r == '\n':
+			b = append(b, '\\', 'n')
+		case r < ' ':
+			b = append(b, '\\', 'u', '0', '0', hexDigits[r>>4], hexDigits[r&15])
+		default:
+			b = utf8.AppendRune(b, r)
+		}
 	}
-	w.data(b)
+	return append(b, '"')
 }
 
 // whole returns the body of an answer that is not streamed.
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -717,6 +717,7 @@
 		return nil
 	}
 	g.stalled = true
+	g.text.Pack()
 	switch {
 	case g.status == placing || g.status == backoff:
 		g.status = parked
--- a/tokenlog/text.go
+++ b/tokenlog/text.go
@@ -59,6 +59,17 @@
 	t.tail = nil
 }
 
+// Pack compresses what is not compressed yet, unless it is too short to gain
+// by it. It is of use before a long wait.
+func (t *Text) Pack() {
+	if len(t.tail) >= packBytes {
+		t.seal()
+	}
+}
+
+// packBytes keeps many short waits from making many small blocks.
+const packBytes = 2 << 10
+
 // Len returns the length of the text in bytes.
 func (t *Text) Len() int { return t.length }
 
--- a/tokenlog/tokenlog_test.go
+++ b/tokenlog/tokenlog_test.go
@@ -76,6 +76,13 @@
 			part := strings.Repeat(rapid.StringN(0, 40, 40).Draw(t, "text"), rapid.IntRange(1, 300).Draw(t, "times"))
 			x.Append(part)
 			want.WriteString(part)
+			if rapid.IntRange(0, 4).Draw(t, "pack") == 0 {
+				size := x.Size()
+				x.Pack()
+				if x.Size() > size {
+					t.Fatalf("packing grew the text from %d to %d bytes", size, x.Size())
+				}
+			}
 		}
 		if x.String() != want.String() || x.Len() != want.Len() {
 			t.Fatalf("text of %d bytes differs from the %d bytes appended", x.Len(), want.Len())
