recovery: ask a silent engine again before a generation counts as lost

Cause: a caller that reconnected without its text got generation_lost 0.3 s after its cursor's engine was paused, or at once when that engine answered 503 to the resume, although the engine still held the generation.

Change: without the delivered text the attempt cannot be replaced, so the resume is tried again with backoff for 3 s. An engine that says it does not hold the generation, or refuses connections, still gives 410 at once, so that the caller can return its text soon. The arbitrary-event property now also covers generations whose text is not known.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -608,6 +608,27 @@
 		Eventually(drained).Should(BeClosed())
 	})
 
+	// Guards against an answer that is cut without a word: a caller without
+	// cursors is told the truth, and its attempt does not run on.
+	It("refuses what is not streamed at the deadline", func() {
+		f := newFleet(1, 50)
+		f.at(address(0)).set(func(e *fakeEngine) { e.allowed = 20 })
+		d := newDaemon(f, snapshot(1, nil), nil)
+		go func() {
+			defer GinkgoRecover()
+			Eventually(func() int { return f.at(address(0)).get(func(e *fakeEngine) int { return len(e.starts) }) }, patience).Should(Equal(1))
+			expired, cancel := context.WithCancel(ctx)
+			cancel()
+			d.Drain(expired)
+		}()
+		resp := d.post(ctx, nil, map[string]any{"stream": false})
+		Expect(resp.StatusCode).To(Equal(503))
+		b := refused(resp)
+		Expect(b.Error.Code).To(Equal("draining"))
+		Expect(b.Error.Outcome).To(Equal("may_have_run"))
+		Eventually(func() int { return f.at(address(0)).get(func(e *fakeEngine) int { return len(e.cancels) }) }, patience).Should(Equal(1))
+	})
+
 	// Guards against a request that a graceful shutdown cuts (P8).
 	It("hands streams over at the deadline without a gap", func() {
 		f := newFleet(1, 50)
--- a/recovery/checker_test.go
+++ b/recovery/checker_test.go
@@ -28,6 +28,7 @@
 	ended   bool
 	end     recovery.Action
 	adopted bool
+	unknown bool // the delivered text is not known
 	opened  map[int]bool
 	// reattach is set when a caller can go on with a running attempt.
 	reattach bool
@@ -43,6 +44,7 @@
 	}
 	if a != nil {
 		c.text, c.next, c.adopted = a.Text, a.Delivered, true
+		c.unknown = a.Delivered > 0 && !a.HaveText
 		c.lastPlace, c.last = a.Attempt, a.Attempt
 		c.starts[a.Attempt] = recovery.Start{Attempt: a.Attempt, Upstream: a.Upstream, Version: a.Version}
 		if a.Delivered > 0 {
@@ -175,6 +177,9 @@
 			if a.Prefix != c.text || a.PrefixTokens != c.next {
 				fail("(d) prefix of %d tokens %q, delivered %d tokens %q", a.PrefixTokens, a.Prefix, c.next, c.text)
 			}
+			if c.unknown {
+				fail("(d) start without the delivered text")
+			}
 			if len(c.backlog) > 0 {
 				fail("(d) start while %d tokens are not delivered", len(c.backlog))
 			}
--- a/recovery/property_test.go
+++ b/recovery/property_test.go
@@ -144,7 +144,10 @@
 			MaxTokens: rapid.SampledFrom([]int{0, 5}).Draw(rt, "max"), Deadline: now.Add(20 * time.Second),
 		}
 		if rapid.IntRange(0, 3).Draw(rt, "adopt") == 0 {
-			r.Adopt = &recovery.Adopt{Attempt: 2, Upstream: "e0", Version: "v1", Delivered: 2, Text: "ab", HaveText: true}
+			r.Adopt = &recovery.Adopt{Attempt: 2, Upstream: "e0", Version: "v1", Delivered: 2}
+			if rapid.Bool().Draw(rt, "have text") {
+				r.Adopt.Text, r.Adopt.HaveText = "ab", true
+			}
 		}
 		g, actions := recovery.New(now, r, recovery.Options{HeldLimit: 600}, rand.New(rand.NewPCG(1, 2)))
 		c := newChecker(r)
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -198,6 +198,7 @@
 	gaps        gaps
 
 	placeAt   time.Time
+	reattach  bool // resume at placeAt instead of placing
 	waitSince time.Time
 	exclude   map[string]exclusion
 	leaving   map[string]bool
@@ -523,7 +524,7 @@
 		}
 	}
 	g.phase, g.heard, g.limit, g.forgiven = decode, now, time.Time{}, false
-	g.fruitless, g.resumes = 0, 0
+	g.fruitless, g.resumes, g.waits = 0, 0, 0
 	g.next++
 	if g.tokens++; g.tokens == shortTokens {
 		g.short--
@@ -586,10 +587,14 @@
 	}
 	opened := g.probeOpened
 	g.probe = 0
-	if g.conn == 0 && opened && g.resumes < maxResumes {
+	switch {
+	case g.conn == 0 && opened && g.resumes < maxResumes:
 		return g.startProbe(now, nil)
+	case ev.NotRun:
+		// No connection was made: the engine is gone.
+		return g.move(now, nil)
 	}
-	return g.move(now, nil)
+	return g.lose(now)
 }
 
 // maxResumes bounds resumed connections in a row that gave no token.
@@ -621,6 +626,9 @@
 		// An overloaded engine is not asked again at once, not even when no
 		// other is left: retries there would add to the overload.
 		g.avoid(now, g.upstream, now.Add(max(ev.RetryAfter, time.Second)), true)
+		if ev.Conn == g.probe {
+			return g.lose(now)
+		}
 	}
 	return g.move(now, nil)
 }
@@ -636,6 +644,17 @@
 	return append(out, Resume{Attempt: g.attempt, Conn: g.probe, Upstream: g.upstream, After: g.next})
 }
 
+// lose gives up an engine that is silent or overloaded. Without the delivered
+// text the attempt cannot be replaced, so it is resumed again for a while.
+func (g *Generation) lose(now time.Time) []Action {
+	if g.known || now.Sub(g.heard) >= g.o.PlaceWait {
+		return g.move(now, nil)
+	}
+	g.reattach = true
+	g.waits++
+	return g.wait(now, g.waits, g.closeConns(nil))
+}
+
 // move gives up the current attempt and begins another one elsewhere.
 func (g *Generation) move(now time.Time, out []Action) []Action {
 	out = g.cancel(g.closeConns(out))
@@ -720,7 +739,7 @@
 	g.text.Pack()
 	switch {
 	case g.status == placing || g.status == backoff:
-		g.status = parked
+		g.status, g.reattach = parked, false
 	case g.status == running && g.r.Resumes:
 		// The engine goes on into its own log.
 		out := g.closeConns(nil)
@@ -778,6 +797,10 @@
 		return nil
 	}
 	if g.status == backoff {
+		if g.reattach {
+			g.reattach, g.status = false, running
+			return g.startProbe(now, nil)
+		}
 		return g.place(now, nil)
 	}
 	if now.Sub(due) > lateTick && !g.forgiven {
@@ -793,7 +816,7 @@
 		return nil
 	}
 	if g.probe != 0 || !g.r.Resumes {
-		return g.move(now, nil)
+		return g.lose(now)
 	}
 	return g.startProbe(now, nil)
 }
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -498,6 +498,44 @@
 		Expect(actions).To(Equal([]recovery.Action{recovery.Start{Attempt: 4, Conn: 2, Upstream: "e1", Version: "v1", Prefix: "ab", PrefixTokens: 2}}))
 	})
 
+	// Guards against an answer that is given up since its engine was paused or
+	// overloaded for a moment, and against a wait without an end.
+	DescribeTable("is resumed for a while when its text is not known", func(answer func(d *driver)) {
+		d := adopt(resumes, false)
+		resumed := 0
+		for d.check.end == nil {
+			if _, ok := d.last[len(d.last)-1].(recovery.Resume); ok {
+				resumed++
+				answer(d)
+				if d.check.end != nil {
+					break
+				}
+			}
+			d.tick()
+			if len(d.last) == 0 {
+				d.tick()
+			}
+		}
+		Expect(d.last).To(fails(recovery.CodeGenerationLost, recovery.OutcomeMayHaveRun))
+		Expect(d.now.Sub(simStart)).To(BeNumerically("~", 3500*time.Millisecond, 500*time.Millisecond))
+		Expect(resumed).To(And(BeNumerically(">=", 3), BeNumerically("<=", 12)))
+	},
+		Entry("silent", func(*driver) {}),
+		Entry("overloaded", func(d *driver) {
+			Expect(d.step(recovery.Refused{Attempt: 3, Conn: d.check.lastConn, Status: 503})).NotTo(ContainElement(BeAssignableToTypeOf(recovery.Resume{})))
+		}),
+		Entry("broken off", func(d *driver) {
+			Expect(d.step(recovery.Broken{Attempt: 3, Conn: d.check.lastConn})).NotTo(ContainElement(BeAssignableToTypeOf(recovery.Resume{})))
+		}),
+	)
+
+	// Guards against a wait for an engine that is known to have lost the
+	// generation: the caller should return its text soon.
+	It("is given up at once when its engine is gone", func() {
+		d := adopt(resumes, false)
+		Expect(d.step(recovery.Broken{Attempt: 3, Conn: 1, NotRun: true})).To(fails(recovery.CodeGenerationLost, recovery.OutcomeMayHaveRun))
+	})
+
 	// Guards against an attempt that runs on at an engine without resume.
 	It("is moved at once when its engine does not resume", func() {
 		d := adopt(plain, true)
