entry: read no further from the engine before a caller counts as stalled

Cause: a full window detached the engine at once. A caller that reads at full speed, but more slowly than an engine sends a resumed log, was detached for each window: 15 new connections for an answer of 12,000 tokens, each of which sends again what was on its way.

Change: while the window is full, the engine's connection is not read. The caller is stalled when it takes nothing for 250 ms, or when the window stays full for 1 s.

A bound on missing progress alone was ruled out: the kernel would buffer megabytes from the engine for a caller that reads slowly but steadily.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -141,7 +141,11 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	resp, err := client.Do(r)
+	c := client
+	if ctx.Value(fastKey{}) != nil {
+		c = fastClient
+	}
+	resp, err := c.Do(r)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(resp.Body.Close)
 	return resp
@@ -174,7 +178,14 @@
 	return s
 }
 
-type connKey struct{}
+type (
+	connKey struct{}
+	// fastKey selects fastClient.
+	fastKey struct{}
+)
+
+// fastClient has the receive buffer of the system.
+var fastClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (s *events) next() (event, error) {
 	var ev event
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -52,7 +52,9 @@
 	queue            trace.Span
 	snap             *node.Snapshot
 	stalled          bool
-	win              *window // win and out are nil when the answer is not streamed
+	taken            time.Time // when the caller last took something
+	full             time.Time // when the window became full, zero if it is not
+	win              *window   // win and out are nil when the answer is not streamed
 	out              *output
 	result           *ending
 	gone             bool
@@ -265,13 +267,18 @@
 		if at, ok := g.machine.NextTimer(); ok {
 			wait = min(wait, at.Sub(g.e.o.Now()))
 		}
+		events := g.events
+		if !g.full.IsZero() {
+			// The silence of a connection that is not read means nothing.
+			events, wait = nil, g.stallDue().Sub(g.e.o.Now())
+		}
 		timer.Reset(max(wait, 0))
 		var changed chan struct{}
 		if g.win != nil {
 			changed = g.win.changed
 		}
 		select {
-		case ev := <-g.events:
+		case ev := <-events:
 			g.event(ev)
 		case <-ctx.Done():
 			g.leave()
@@ -292,6 +299,12 @@
 			g.step(recovery.HandOver{})
 			g.result = &ending{reconnect: true}
 		case <-timer.C:
+			if !g.full.IsZero() {
+				if !g.e.o.Now().Before(g.stallDue()) {
+					g.stall()
+				}
+				continue
+			}
 			// Events that arrived before the timer are older than it.
 			select {
 			case ev := <-g.events:
@@ -341,13 +354,40 @@
 	for _, a := range actions {
 		g.act(a)
 	}
-	if g.win != nil && !g.stalled && g.result == nil && g.win.used() > g.windowLimit() {
-		g.stalled = true
-		g.e.m.stalls.Inc()
-		g.step(recovery.CallerStalled{})
+	if g.win != nil && !g.stalled && g.full.IsZero() && g.win.used() > g.windowLimit() {
+		g.full = g.e.o.Now()
+		g.taken = g.full
 	}
 }
 
+// A caller counts as stalled when its window is full and it takes nothing for
+// stallAfter, or when the window stays full for stallAlways. Until then the
+// engine's connection is only read no further: a log that is resumed comes
+// faster than any caller reads, and a new connection for each full window
+// would send most of it several times. The second bound is there since the
+// kernel goes on to buffer what the engine sends.
+const (
+	stallAfter  = 250 * time.Millisecond
+	stallAlways = time.Second
+)
+
+// stallDue returns when the caller of a full window counts as stalled.
+func (g *generation) stallDue() time.Time {
+	at, always := g.taken.Add(stallAfter), g.full.Add(stallAlways)
+	if always.Before(at) {
+		return always
+	}
+	return at
+}
+
+// stall detaches the engine from a caller that does not read.
+func (g *generation) stall() {
+	g.full = time.Time{}
+	g.stalled = true
+	g.e.m.stalls.Inc()
+	g.step(recovery.CallerStalled{})
+}
+
 // bufferBytes is what a connection to a caller holds besides the window: the
 // kernel's send buffer, the buffers of net/http (4 KB and 2 KB) and the events
 // of one write.
@@ -372,6 +412,10 @@
 func (g *generation) reading() {
 	limit := g.windowLimit()
 	n := g.win.used()
+	g.taken = g.e.o.Now()
+	if n <= limit/2 {
+		g.full = time.Time{}
+	}
 	if !g.stalled || n > limit/4 {
 		return
 	}
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -19,13 +19,22 @@
 var _ = Describe("a caller that does not read", func() {
 	const total = 12000
 
-	// settled waits until the held bytes did not change for a while.
+	stalls := func(d *daemon) string {
+		var b strings.Builder
+		d.Metrics().WritePrometheus(&b)
+		_, rest, _ := strings.Cut(b.String(), "gooseberryroad_entry_stalls_total ")
+		n, _, _ := strings.Cut(rest, "\n")
+		return n
+	}
+
+	// settled waits until the caller stalled and the held bytes did not change
+	// for a while.
 	settled := func(d *daemon) entry.Held {
 		GinkgoHelper()
 		var last entry.Held
 		Eventually(func() bool {
 			h := d.Held()
-			same := h.Total == last.Total && h.Total > 16<<10
+			same := h.Total == last.Total && stalls(d) == "1"
 			last = h
 			return same
 		}, patience, 50*time.Millisecond).Should(BeTrue())
@@ -45,7 +54,6 @@
 		Expect(h.Accounts).To(Equal(map[string]int64{"crew": h.Total}))
 		var b strings.Builder
 		d.Metrics().WritePrometheus(&b)
-		Expect(b.String()).To(ContainSubstring("gooseberryroad_entry_stalls_total 1"))
 		Expect(b.String()).To(ContainSubstring(fmt.Sprintf("gooseberryroad_entry_held_bytes_account{account=\"crew\"} %d", h.Total)))
 		_, done := s.fast().rest()
 		Expect(done).To(BeTrue())
@@ -73,6 +81,19 @@
 		Expect(e.resumes).To(BeZero())
 	})
 
+	// Guards against a new connection, and tokens sent again, for each full
+	// window of a caller that only reads more slowly than the engine sends.
+	It("is not detached while it reads", func() {
+		const short = 2000 // two windows
+		f := newFleet(1, short)
+		d := newDaemon(f, snapshot(1, nil), nil)
+		s := read(d.post(context.WithValue(ctx, fastKey{}, true), nil, nil))
+		_, done := s.rest()
+		Expect(done).To(BeTrue())
+		Expect(s.text == answerText("v1", short)).To(BeTrue())
+		Expect(f.at(address(0)).resumes).To(BeZero())
+	})
+
 	// Guards against a drain that waits for a caller that does not read.
 	It("does not hold up a drain", func() {
 		f := newFleet(1, total)
