--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -349,6 +349,29 @@
 		Eventually(func() int { return paused.get(func(e *fakeEngine) int { return len(e.cancels) }) }, patience).Should(Equal(1))
 	})
 
+	// Guards against each request finding out by itself that an engine is
+	// paused: it has the least load then and would be chosen most.
+	It("keeps other requests away from an engine that was lost", func() {
+		f := newFleet(2, 50)
+		for i := range 2 {
+			f.at(address(i)).set(func(e *fakeEngine) { e.allowed = 20 })
+		}
+		d := newDaemon(f, snapshot(2, nil), nil)
+		s := read(d.post(ctx, nil, nil))
+		s.tokens(20)
+		first := running(f, 2)
+		paused := f.at(address(first))
+		paused.set(func(e *fakeEngine) { e.paused = true })
+		f.at(address(1 - first)).set(func(e *fakeEngine) { e.allowed = 50 })
+		_, done := s.rest()
+		Expect(done).To(BeTrue())
+		for range 5 {
+			_, done := read(d.post(ctx, nil, nil)).rest()
+			Expect(done).To(BeTrue())
+		}
+		Expect(paused.get(func(e *fakeEngine) int { return e.dials })).To(Equal(1))
+	})
+
 	// Guards against a second generation when only the connection died.
 	It("resumes at the same engine when a connection goes silent", func() {
 		f := newFleet(2, 50)
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -31,6 +31,7 @@
 	refusal *engine.RefusedError
 	muted   int // connections up to this number give nothing more
 	conns   int
+	dials   int // calls of Start, answered or not
 	running map[string]*fakeGeneration
 	starts  []engine.Request
 	resumes int
@@ -104,6 +105,7 @@
 
 func (f *fleet) Start(ctx context.Context, addr string, r engine.Request) (engine.Stream, error) {
 	e := f.at(addr)
+	e.set(func(e *fakeEngine) { e.dials++ })
 	if err := e.reach(ctx); err != nil {
 		return nil, err
 	}
