--- a/node/moves.go
+++ b/node/moves.go
@@ -18,8 +18,6 @@
 	shares   map[string]float64
 	replicas map[string][]string
 	owner    rollout.OwnerElect
-	// readDue is set while the Mover waits for the record in the store.
-	readDue bool
 }
 
 // maxHeldWindows bounds windows that wait for a link to the owner of a move.
--- a/node/peers.go
+++ b/node/peers.go
@@ -20,6 +20,10 @@
 	// probeInterval is how often a daemon that is not known to be alive is
 	// tried. It bounds how long a healed partition goes unnoticed.
 	probeInterval = 2 * time.Second
+	// firstProbeInterval is used without any link. A daemon that starts while
+	// the store is down has no configuration until it finds a live seed, and
+	// some seeds may be dead.
+	firstProbeInterval = 250 * time.Millisecond
 	// probeKept is how long the link of a probe is kept when neither side
 	// chooses it.
 	probeKept = 5 * time.Second
@@ -133,7 +137,11 @@
 		n.changed = true
 	}
 	if !now.Before(n.peers.nextProbe) {
-		n.peers.nextProbe = now.Add(probeInterval*3/4 + time.Duration(n.o.Rand.Int64N(int64(probeInterval/2))))
+		interval := probeInterval
+		if len(n.peers.links) == 0 {
+			interval = firstProbeInterval
+		}
+		n.peers.nextProbe = now.Add(interval*3/4 + time.Duration(n.o.Rand.Int64N(int64(interval/2))))
 		if c, ok := n.members.Probe(now, n.o.Rand); ok && n.peers.links[c.Name] == nil {
 			out = append(out, LinkPeer{Peer: c.Name, Address: c.Address, Once: true})
 		}
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -111,7 +111,7 @@
 	case line := <-first:
 		ts.Check(json.Unmarshal([]byte(line), &p.ready))
 	case <-p.done:
-		ts.Fatalf("%s ended before it was ready", name)
+		ts.Fatalf("%s ended before it was ready: %s", name, ts.ReadFile(name+".log"))
 	case <-time.After(readyTimeout):
 		ts.Fatalf("%s was not ready after %v", name, readyTimeout)
 	}
