--- a/membership/members.go
+++ b/membership/members.go
@@ -83,6 +83,7 @@
 
 // Members holds the daemons of the fleet.
 type Members struct {
+	probed string // address of the last probe
 	o      MemberOptions
 	byName map[string]*member
 	byID   map[uint32]string
@@ -371,7 +372,13 @@
 	if len(out) == 0 {
 		return Candidate{}, false
 	}
-	return out[rnd.IntN(len(out))], true
+	// Not the last one again: a dead seed would be tried in vain for long.
+	if len(out) > 1 {
+		out = slices.DeleteFunc(out, func(c Candidate) bool { return c.Address == m.probed })
+	}
+	c := out[rnd.IntN(len(out))]
+	m.probed = c.Address
+	return c, true
 }
 
 // Watches reports whether this daemon watches the store: it is among the
