--- a/claim/claim.go
+++ b/claim/claim.go
@@ -211,6 +211,11 @@
 	// inferred from a conflict.
 	repeat bool
 
+	// rounds counts the writes after reads that found the key free; rested is
+	// set after the pause before the next one.
+	rounds int
+	rested bool
+
 	pause    time.Duration
 	retryAt  time.Time
 	index    uint64 // index of the record while running or recording
@@ -369,7 +374,7 @@
 	case ResultNotFound:
 		c.repeat = false
 		c.phase = phaseClaiming
-		return c.writeOrDeadline(now, 0)
+		return c.claimAgain(now, 0)
 	case ResultUnreadable:
 		return c.refuse(MayHaveRun, CodeClaimUnreadable, 0)
 	default:
@@ -383,7 +388,7 @@
 		// Nobody ran, whatever body the released call had.
 		c.repeat = false
 		c.phase = phaseClaiming
-		return c.writeOrDeadline(now, ev.Index)
+		return c.claimAgain(now, ev.Index)
 	}
 	// Another call's record. A write of this call expected an older index and
 	// can no longer take effect.
@@ -446,10 +451,20 @@
 	return []Action{ReadRecord{Op: c.op, Key: c.key}}
 }
 
-func (c *Claim) writeOrDeadline(now time.Time, index uint64) []Action {
+// claimAgain writes once more after a read found the key free. Stale reads, or
+// many calls that release the key in turn, could make writes and reads follow
+// each other without end, so from the third time on each round has a pause.
+func (c *Claim) claimAgain(now time.Time, index uint64) []Action {
 	if !now.Before(c.req.Deadline) {
 		return c.deadline()
 	}
+	if c.rounds >= 2 && !c.rested {
+		c.rested = true
+		c.backOff(now)
+		return nil
+	}
+	c.rounds++
+	c.rested = false
 	return c.write(index)
 }
 
--- /dev/null
+++ b/plain/grouped_test.go
@@ -0,0 +1,70 @@
+package plain_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/claim"
+	"github.com/gooseberryroad/gooseberryroad/plain"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+var _ = Describe("grouped writes", func() {
+	// Guards P6 when the claims of many calls are grouped.
+	It("run each key once", func() {
+		address, count := upstream(created)
+		f := newFixture(func(o *plain.Options) {
+			o.Store = plain.NewGrouped(o.Store, nil, time.Second, claim.BatcherOptions{})
+		}, address)
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				// Each key is sent twice.
+				Expect(f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", fmt.Sprint("k", i/2)).status).To(Equal(201))
+			}()
+		}
+		wg.Wait()
+		Expect(count.Load()).To(Equal(int64(50)))
+	})
+
+	// Guards against a lost answer of a transaction that some callers take for
+	// a result.
+	It("give every caller of a lost transaction an unknown result", func() {
+		s := newMemStore()
+		s.fault = func(op string, n int) (error, bool) { return store.ErrUnknown, true }
+		g := plain.NewGrouped(s, nil, time.Second, claim.BatcherOptions{})
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				_, err := g.CompareAndSwap(context.Background(), fmt.Sprint(i), nil, 0)
+				Expect(err).To(MatchError(store.ErrUnknown))
+			}()
+		}
+		wg.Wait()
+	})
+
+	// Guards not_run of a caller that stops waiting before its write is sent.
+	It("are withdrawn when the caller stops waiting", func() {
+		s := newMemStore()
+		g := plain.NewGrouped(s, nil, time.Second, claim.BatcherOptions{Interval: time.Hour})
+		_, err := g.CompareAndSwap(context.Background(), "first", nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = g.CompareAndSwap(ctx, "second", nil, 0)
+		Expect(err).To(MatchError(store.ErrUnavailable))
+		_, err = s.Get(context.Background(), "second")
+		Expect(err).To(MatchError(store.ErrNotFound))
+	})
+})
--- a/plain/plain_test.go
+++ b/plain/plain_test.go
@@ -405,6 +405,18 @@
 		Expect(count.Load()).To(Equal(int64(1)))
 	}, Entry("and the write took effect", true), Entry("and it did not", false))
 
+	// Guards P6 against a record of an unknown form that passes for none.
+	It("does not run when the record cannot be read", func() {
+		address, count := upstream(created)
+		f := newFixture(nil, address)
+		_, err := f.store.CompareAndSwap(context.Background(), claim.StoreKey("shop", "apiary", "k1"), []byte("?"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		a := f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k1")
+		Expect(a.status).To(Equal(500))
+		Expect(a.outcome).To(Equal("may_have_run"))
+		Expect(count.Load()).To(BeZero())
+	})
+
 	// Guards against an outcome that is lost with its caller.
 	It("records the outcome of a call whose caller has gone", func() {
 		entered, leave := make(chan struct{}), make(chan struct{})
--- /dev/null
+++ b/plain/sweep_test.go
@@ -0,0 +1,114 @@
+package plain_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/claim"
+	"github.com/gooseberryroad/gooseberryroad/plain"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+// deletingStore is a memStore with deletion.
+type deletingStore struct {
+	*memStore
+	// listed is called between a list and the deletions that follow from it.
+	listed func([]store.Entry)
+}
+
+func (s deletingStore) List(ctx context.Context, prefix string, index uint64, wait time.Duration) ([]store.Entry, uint64, error) {
+	entries, at, err := s.memStore.List(ctx, prefix, index, wait)
+	if s.listed != nil {
+		s.listed(entries)
+	}
+	return entries, at, err
+}
+
+func (s deletingStore) CompareAndDelete(_ context.Context, key string, index uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].Index != index {
+		return store.ErrConflict
+	}
+	delete(s.entries, key)
+	return nil
+}
+
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+func (c *manualClock) AfterFunc(time.Duration, func()) (stop func() bool) {
+	return func() bool { return true }
+}
+
+var _ = Describe("sweeper", func() {
+	put := func(s *memStore, key string, st claim.State) string {
+		k := claim.StoreKey("shop", "apiary", key)
+		r := claim.Record{State: st, Nonce: key}
+		if st == claim.StateDone {
+			r.Outcome = &claim.Outcome{Status: 200}
+		}
+		_, err := s.CompareAndSwap(context.Background(), k, r.Encode(), s.entries[k].Index)
+		Expect(err).NotTo(HaveOccurred())
+		return k
+	}
+	round := func(s *plain.Sweeper) (n plain.Swept) {
+		for range claim.Shards {
+			one, err := s.Sweep(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			n.Seen, n.Claimed, n.Expired, n.Deleted = n.Seen+one.Seen, n.Claimed+one.Claimed, n.Expired+one.Expired, n.Deleted+one.Deleted
+		}
+		return n
+	}
+
+	// Guards P6 (no deletion before the retention, of a claimed record, or of
+	// one that was claimed again meanwhile) and the size of the store.
+	It("deletes done and released records after the retention, and no others", func() {
+		s := deletingStore{memStore: newMemStore()}
+		clock := &manualClock{now: t0}
+		sw := plain.NewSweeper(s, clock)
+		round(sw)
+		for i := range 20 {
+			put(s.memStore, fmt.Sprint("done", i), claim.StateDone)
+			put(s.memStore, fmt.Sprint("released", i), claim.StateReleased)
+		}
+		held := put(s.memStore, "held", claim.StateClaimed)
+		// The released record that is swept last is claimed again between the
+		// list that shows it as released and its deletion.
+		last := ""
+		for i := range 20 {
+			if k := fmt.Sprint("released", i); last == "" || claim.StoreKey("shop", "apiary", k) > claim.StoreKey("shop", "apiary", last) {
+				last = k
+			}
+		}
+		again := claim.StoreKey("shop", "apiary", last)
+		full := len(s.entries)
+		for range 24 {
+			Expect(round(sw).Deleted).To(BeZero())
+			clock.now = clock.now.Add(time.Hour)
+		}
+		s.listed = func(entries []store.Entry) {
+			for _, e := range entries {
+				if e.Key == again && len(s.entries) < full {
+					put(s.memStore, last, claim.StateClaimed)
+				}
+			}
+		}
+		sw = plain.NewSweeper(s, clock)
+		total := plain.Swept{}
+		for range 4 {
+			total.Deleted += round(sw).Deleted
+			clock.now = clock.now.Add(time.Hour)
+		}
+		Expect(total.Deleted).To(Equal(39))
+		Expect(s.entries).To(HaveKey(held))
+		Expect(s.entries).To(HaveKey(again))
+		Expect(s.entries).To(HaveLen(3), "two claimed records and the epochs")
+	})
+})
+
+var t0 = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
