rollout: bound the short memory, distrust quantiles of late daemons

A large batch of the old version's outcomes entered the short memory whole, so the memory did not follow the fault; a batch now counts as no more than the memory's size. A daemon that started within the fault learned its quantiles there and reported the old version as healthy; a daemon that learns of a move that is under way now judges latencies only by a full ring.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -88,7 +88,10 @@
 	}
 }
 
-func (r *ring) ready() bool { return r.n >= ringReady }
+// ready tells whether the quantile is known well enough. A daemon that started
+// during the move needs a full ring: it may have started during a fault of both
+// versions, and its quantile would make the old version look healthy.
+func (r *ring) ready(late bool) bool { return r.n >= ringSize || (r.n >= ringReady && !late) }
 
 type levelKey struct {
 	route string
--- a/rollout/mover.go
+++ b/rollout/mover.go
@@ -409,8 +409,9 @@
 // versions, so that both are judged alike in a fault of both.
 func (m *Mover) limits(version, route string, lv uint8, examining bool) (first, between time.Duration) {
 	cells := m.latencies[version]
+	late := !m.waitsUntil().IsZero()
 	smaller := func(limit time.Duration, r *ring) time.Duration {
-		if r.ready() && (limit == 0 || r.limit < limit) {
+		if r.ready(late) && (limit == 0 || r.limit < limit) {
 			return r.limit
 		}
 		return limit
--- a/rollout/sequence.go
+++ b/rollout/sequence.go
@@ -126,10 +126,13 @@
 // memory estimates a rate from the latest outcomes.
 type memory struct{ n, bad float64 }
 
+// add fades what is remembered and adds n outcomes; a large batch counts as no
+// more than size of them.
 func (m *memory) add(n, bad float64, size float64) {
 	keep := math.Exp(-n / size)
-	m.n = m.n*keep + n
-	m.bad = m.bad*keep + bad
+	added := size * (1 - keep)
+	m.n = m.n*keep + added
+	m.bad = m.bad*keep + added*bad/n
 }
 
 // sequence is the test of one kind on one route.
