rollout: add tests for mechanisms that no test needed

Each mechanism was disabled in turn on a scratch copy (40 changes: late records, old documents, non-owners, read-back, write timeout, repeats of alarms, alarms of other moves, the drop of the share, the written rollback, retries, the wait of late daemons, control groups, load bursts, the schedule, poison, lost replicas, crashes, death counts, contrast, window totals and bounds, quantiles, memories, floor, documents).

--- a/rollout/mover_test.go
+++ b/rollout/mover_test.go
@@ -393,6 +393,19 @@
 		Entry("slowness within the tolerance", func(_ int, s *rollout.Sample) { s.BetweenTokens = 23 * time.Millisecond }),
 	)
 
+	// Guards against one death that counts several times because answers to
+	// earlier requests arrive among the failures.
+	It("of one death among late answers raises no alarm", func() {
+		f := probing()
+		sent := f.now
+		for range 10 {
+			f.sample("v2", "b00", func(s *rollout.Sample) { s.UpstreamLost = true })
+			f.now = f.now.Add(20 * time.Second)
+			f.sample("v2", "b00", func(s *rollout.Sample) { s.At = sent })
+		}
+		Expect(f.alarm).To(BeEmpty())
+	})
+
 	// Guards against a crash loop that is taken for lost replicas.
 	It("of a replica that dies again and again raises an alarm", func() {
 		f := probing()
@@ -463,6 +476,63 @@
 		Expect(f.alarm).NotTo(BeEmpty())
 	})
 
+	// Guards against quantiles that follow a fault of both versions at the levels
+	// where the old one has requests, and make only the new one look slow.
+	It("of slowness in a fault of both versions at unlike loads raises no alarm", func() {
+		f := began()
+		f.at(2 * time.Minute)
+		at := func(load float64, between time.Duration) func(*rollout.Sample) {
+			return func(s *rollout.Sample) { s.Load, s.BetweenTokens = load, between }
+		}
+		for range 130 {
+			f.sample("v1", "a00", at(0.1, 20*time.Millisecond))
+			f.sample("v1", "a00", at(0.6, 20*time.Millisecond))
+		}
+		for range 30 {
+			for range 10 {
+				f.sample("v1", "a00", at(0.6, 60*time.Millisecond))
+			}
+			f.sample("v2", "b00", at(0.1, 60*time.Millisecond))
+		}
+		Expect(f.alarm).To(BeEmpty())
+	})
+
+	// Guards against quantiles that a daemon has learned during a fault of both
+	// versions, because it started in it.
+	It("of latencies needs a full set of them at a daemon that starts late", func() {
+		f := began()
+		g := newFixture("d1")
+		g.now = epoch.Add(20 * time.Minute)
+		g.step(rollout.Accepted{Service: makeDoc(20, 20, f.rec.Versions), Revision: 10})
+		g.step(rollout.Stored{Move: f.rec, Index: f.index})
+		for range 100 {
+			g.sample("v1", "a00", nil)
+			f.sample("v1", "a00", nil)
+		}
+		Expect(f.m.Status().Routes[0].Old.FirstN).To(BeNumerically(">", 50))
+		Expect(g.m.Status().Routes[0].Old.FirstN).To(BeZero())
+		for range 100 {
+			g.sample("v1", "a00", nil)
+		}
+		Expect(g.m.Status().Routes[0].Old.FirstN).To(BeNumerically(">", 50))
+	})
+
+	// Guards against a fault of both versions that shows in the old one first.
+	It("of errors that the old version has just had too is not suspicious", func() {
+		f := probing()
+		for range 2000 {
+			f.sample("v1", "a00", nil)
+		}
+		for range 60 {
+			f.sample("v1", "a00", failed)
+		}
+		for range 8 {
+			f.sample("v2", "b00", failed)
+		}
+		r := f.m.Status().Routes[0]
+		Expect(r.Score).To(BeNumerically("<", r.Bound/2))
+	})
+
 	// Guards against evidence that is spread over daemons and enough for none.
 	It("of several daemons is merged by the owner; repeated windows count once", func() {
 		window := func(f *fixture, daemon string, bad uint32) rollout.Observed {
