--- a/node/moves.go
+++ b/node/moves.go
@@ -18,8 +18,6 @@
 	shares   map[string]float64
 	replicas map[string][]string
 	owner    rollout.OwnerElect
-	// readDue is set while the Mover waits for the record in the store.
-	readDue bool
 }
 
 // maxHeldWindows bounds windows that wait for a link to the owner of a move.
@@ -218,7 +216,12 @@
 func (n *Node) moveStep(now time.Time, service string, ev rollout.Event) []Action {
 	m := n.movers[service]
 	var out []Action
-	for _, a := range m.mover.Step(now, ev) {
+	acts := m.mover.Step(now, ev)
+	if len(acts) > 0 {
+		// The status in the snapshot changed, not only the shares.
+		n.dirty[service] = true
+	}
+	for _, a := range acts {
 		switch a := a.(type) {
 		case rollout.SetShare:
 			n.setShare(service, m, a)
--- a/node/node.go
+++ b/node/node.go
@@ -96,10 +96,9 @@
 	polls     map[string]*poll
 	vms       poll
 	draining  bool
-	// storeOK is false while calls to the store fail.
-	storeOK bool
-	// storeTried is set once a call to the store has ended.
-	storeTried bool
+	// storeDown is set while calls to the store fail. A daemon without a watch
+	// makes none as a rule, so it is not set until one has failed.
+	storeDown  bool
 	configured bool
 	applied    uint64
 
@@ -126,7 +125,7 @@
 	for _, prefix := range watchedPrefixes {
 		n.watches[prefix] = &watch{prefix: prefix}
 	}
-	n.snap = &Snapshot{Services: map[string]*ServiceView{}, Rejected: map[string]Rejection{}, Peers: []string{o.Name}}
+	n.snap = &Snapshot{StoreReachable: true, Services: map[string]*ServiceView{}, Rejected: map[string]Rejection{}, Peers: []string{o.Name}}
 	return n
 }
 
@@ -142,6 +141,7 @@
 	case StoreWrote:
 		out = n.wrote(now, ev)
 	case StoreRead:
+		n.storeSeen(ev.Err)
 		out = n.moveRead(now, ev)
 	case Sampled:
 		out = n.sampled(now, ev.Sample)
@@ -220,6 +220,7 @@
 	}
 	n.movesHash ^= moveHash(old) ^ moveHash(e)
 	n.moves[e.Key] = e
+	n.dirty[e.Key[len(MovesPrefix):]] = true
 	return append(n.announce(e.Key, from), n.moveStored(now, e)...)
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -164,6 +164,10 @@
 	It("holds two watches per data centre and prefix", func() {
 		cluster(s, 9, 2)
 		s.run(20 * time.Second)
+		for _, n := range s.nodes {
+			// Traffic refuses calls that must not be repeated without the store.
+			Expect(n.Snapshot().StoreReachable).To(BeTrue(), "a daemon without a watch has no reason to doubt the store")
+		}
 		before := s.listCalls
 		s.run(30 * time.Second)
 		// Two prefixes, four watchers, one call in 3 s and a list every 6 s.
@@ -203,6 +207,30 @@
 		Expect(revisions(ns, "a")).To(all(rev))
 	})
 
+	// Guards against a fleet that lost the store and elects only daemons that
+	// still cannot reach it. The property test found this.
+	It("finds the one daemon that reaches the store again", func() {
+		ns := cluster(s, 9, 1)
+		s.run(10 * time.Second)
+		s.storeCut[""] = true
+		s.run(time.Minute)
+		for _, n := range ns {
+			Expect(n.storeDown).To(BeTrue(), n.name)
+			s.storeCut[n.name] = true
+		}
+		elected := ns[0].members.Watchers(s.now, "dc0")
+		for _, n := range ns {
+			if !slices.Contains(elected, n.name) {
+				s.storeCut[n.name] = false
+				break
+			}
+		}
+		s.storeCut[""] = false
+		rev := s.put("config/a", simDoc("a", "v1"))
+		s.run(bound)
+		Expect(revisions(ns, "a")).To(all(rev))
+	})
+
 	// Guards against a daemon that starts during an outage of the store and
 	// serves nothing, or says that it is ready before it has all documents.
 	It("configures a daemon that starts during an outage from its peers", func() {
@@ -279,6 +307,21 @@
 		Expect(revisions(ns, "a")).To(all(rev))
 	})
 
+	// Guards against calls that are refused because one connection was bad or one
+	// answer old.
+	It("does not count the store as down for a silent watch or a stale list", func() {
+		n := cluster(s, 1, 1)[0]
+		s.put("config/a", simDoc("a", "v1"))
+		s.run(5 * time.Second)
+		s.check = func(n *simNode) { Expect(n.Snapshot().StoreReachable).To(BeTrue()) }
+		for _, w := range s.waiting {
+			w.closed = true
+		}
+		s.run(10 * time.Second)
+		s.step(n, StoreListed{Prefix: "config/", Watch: n.watches["config/"].id, Index: 1})
+		s.run(time.Second)
+	})
+
 	// Guards against a message that is lost on a link which stays up.
 	It("repairs lost messages by comparing hashes", func() {
 		ns := cluster(s, 4, 2)
--- a/node/peers.go
+++ b/node/peers.go
@@ -125,7 +125,7 @@
 }
 
 func (n *Node) tickPeers(now time.Time) []Action {
-	n.members.Beat(now, n.applied, !n.storeOK && n.storeTried, n.draining)
+	n.members.Beat(now, n.applied, n.storeDown, n.draining)
 	var out []Action
 	if !now.Before(n.peers.nextLinks) {
 		n.peers.nextLinks = now.Add(linkInterval)
--- a/node/publish.go
+++ b/node/publish.go
@@ -12,7 +12,7 @@
 func (n *Node) publish(now time.Time) {
 	s := *n.snap
 	s.Seq++
-	s.Draining, s.StoreReachable, s.Configured, s.Applied = n.draining, n.storeOK, n.configured, n.applied
+	s.Draining, s.StoreReachable, s.Configured, s.Applied = n.draining, !n.storeDown, n.configured, n.applied
 	if len(n.dirty) > 0 {
 		s.Services = maps.Clone(s.Services)
 		for name := range n.dirty {
--- a/node/watch.go
+++ b/node/watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -42,7 +43,7 @@
 	// not. Once all daemons of a data centre have failed, the elected ones need
 	// not be those that can reach it again.
 	elected := n.elected(now)
-	watching := elected || n.storeTried && !n.storeOK
+	watching := elected || n.storeDown
 	for _, prefix := range watchedPrefixes {
 		w := n.watches[prefix]
 		if !watching {
@@ -56,7 +57,8 @@
 			// A connection can go silent for good without an error.
 			out = append(out, Explain{Subject: "store", Text: fmt.Sprintf(
 				"the watch of %s returned nothing for %s and is opened again on a new connection", prefix, now.Sub(w.issuedAt).Round(time.Millisecond))})
-			n.watchFailed(now, w)
+			// A list that hangs as well means that the store cannot be reached.
+			n.watchFailed(now, w, w.index == 0)
 			w.nextAt = now
 		}
 		nextAt := w.nextAt
@@ -90,13 +92,12 @@
 	return n.isElected
 }
 
-func (n *Node) watchFailed(now time.Time, w *watch) {
+func (n *Node) watchFailed(now time.Time, w *watch, down bool) {
 	w.id, w.index = 0, 0
 	w.failures++
 	w.nextAt = now.Add(backoff(n.o.Rand, w.failures))
-	n.storeTried = true
-	if n.storeOK {
-		n.storeOK, n.changed = false, true
+	if down {
+		n.setStoreDown(true)
 	}
 }
 
@@ -137,7 +138,7 @@
 		if w.failures == 0 {
 			out = append(out, Explain{Subject: "store", Text: fmt.Sprintf("the watch of %s failed: %v", ev.Prefix, ev.Err)})
 		}
-		n.watchFailed(now, w)
+		n.watchFailed(now, w, true)
 		return out
 	}
 	if w.index == 0 {
@@ -150,7 +151,7 @@
 			out = append(out, Explain{Subject: "store", Text: fmt.Sprintf(
 				"a list of %s at index %d is older than index %d, which was seen before; listing again", ev.Prefix, ev.Index, max(w.index, n.applied))})
 		}
-		n.watchFailed(now, w)
+		n.watchFailed(now, w, false)
 		return out
 	}
 	w.nextAt = w.issuedAt.Add(minWatchGap)
@@ -163,14 +164,12 @@
 		w.early = 0
 	}
 	w.id, w.index, w.failures = 0, ev.Index, 0
-	n.storeTried = true
-	if !n.storeOK {
-		n.storeOK, n.changed = true, true
-	}
+	n.setStoreDown(false)
 	return append(out, n.tickWatches(now)...)
 }
 
 func (n *Node) wrote(now time.Time, ev StoreWrote) []Action {
+	n.storeSeen(ev.Err)
 	if ev.Err != nil || ev.Index == 0 {
 		if strings.HasPrefix(ev.Key, MovesPrefix) {
 			return n.moveFailed(now, ev.Key, ev.Err)
@@ -179,3 +178,20 @@
 	}
 	return n.offer(now, store.Entry{Key: ev.Key, Value: ev.Value, Index: ev.Index}, "a write of this daemon", "")
 }
+
+// storeSeen notes whether a write or read of one key reached the store. A daemon
+// that holds no watch learns only from these that it cannot be the owner of a
+// move.
+func (n *Node) storeSeen(err error) {
+	down := errors.Is(err, store.ErrUnavailable)
+	if !down && err != nil && !errors.Is(err, store.ErrConflict) {
+		return
+	}
+	n.setStoreDown(down)
+}
+
+func (n *Node) setStoreDown(down bool) {
+	if n.storeDown != down {
+		n.storeDown, n.changed = down, true
+	}
+}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberryroad/gooseberryroad/node"
 	"github.com/gooseberryroad/gooseberryroad/operator"
 	"github.com/gooseberryroad/gooseberryroad/revision"
+	"github.com/gooseberryroad/gooseberryroad/rollout"
 	"github.com/gooseberryroad/gooseberryroad/store"
 )
 
@@ -321,6 +322,26 @@
 		Expect(w.Body.String()).To(ContainSubstring("takes no effect"))
 	})
 
+	// Guards against a move that operators and --wait cannot follow.
+	It("states the phase of a move and why", func() {
+		body := strings.Replace(text("tags", "registro", "v1"), "serving = v1",
+			"serving = v1\nnext = v2\ndeadline = 2026-12-04T18:00:00Z", 1) +
+			"[upstream.a]\naddress = 127.0.0.1:1\ndatacentre = dc1\nregion = r\nversion = v1\n" +
+			"[upstream.b]\naddress = 127.0.0.1:2\ndatacentre = dc1\nregion = r\nversion = v2\n"
+		f.call("PUT", "/v1/services/tags", "registro", "0", body)
+		doc := f.Snapshot().Services["tags"].Doc
+		rec := rollout.Move{Service: "tags", From: "v1", To: "v2", Began: 3, DocRevision: 3, Deadline: doc.Versions.Deadline,
+			Phase: rollout.PhaseTakenBack, Reason: "too many failures", Since: at, Started: at, Fence: 3, Versions: doc.Versions}
+		b, err := rec.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		f.Post(node.StoreListed{Prefix: "moves/", Index: 9, Entries: []store.Entry{{Key: "moves/tags", Index: 9, Value: b}}})
+		f.Post(node.Tick{})
+		_, _, w := f.call("GET", "/v1/services/tags/status", "", "", "")
+		Expect(w.Body.String()).To(ContainSubstring(`"move_phase":"taken_back"`))
+		Expect(w.Body.String()).To(ContainSubstring(`"move_reason":"too many failures"`))
+		Expect(w.Body.String()).To(ContainSubstring("The move:"))
+	})
+
 	It("is ready once it has documents and until it drains", func() {
 		code, _, _ := f.call("GET", "/readyz", "", "", "")
 		Expect(code).To(Equal(503))
--- a/operator/read.go
+++ b/operator/read.go
@@ -1,8 +1,10 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/gooseberryroad/gooseberryroad/control"
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/rollout"
 )
 
 // serviceBody describes a service in lists and with its document.
@@ -75,6 +78,7 @@
 	// MovePhase and MoveReason describe a version move that is known.
 	MovePhase  string             `json:"move_phase,omitempty"`
 	MoveReason string             `json:"move_reason,omitempty"`
+	Move       *moveBody          `json:"move,omitempty"`
 	Shares     map[string]float64 `json:"shares,omitempty"`
 	Upstreams  []upstreamBody     `json:"upstreams,omitempty"`
 	Rejected   *rejectedBody      `json:"rejected,omitempty"`
@@ -87,6 +91,64 @@
 	Events []control.Event `json:"events"`
 }
 
+// moveBody is the evidence on a version move.
+type moveBody struct {
+	From       string     `json:"from"`
+	To         string     `json:"to"`
+	Share      float64    `json:"share"`
+	Owner      string     `json:"owner,omitempty"`
+	Fence      uint64     `json:"fence,omitempty"`
+	Deadline   *time.Time `json:"deadline,omitempty"`
+	GrowsAt    *time.Time `json:"grows_at,omitempty"`
+	FinishesAt *time.Time `json:"finishes_at,omitempty"`
+	WarmUntil  *time.Time `json:"warm_until,omitempty"`
+	// Merged is set when the evidence is that of all daemons.
+	Merged bool        `json:"merged"`
+	Routes []routeBody `json:"routes,omitempty"`
+}
+
+type routeBody struct {
+	Route string     `json:"route"`
+	Old   countsBody `json:"old"`
+	New   countsBody `json:"new"`
+	// Test is the fault whose test is nearest to its bound.
+	Test  string  `json:"test,omitempty"`
+	Score float64 `json:"score"`
+	Bound float64 `json:"bound"`
+}
+
+type countsBody struct {
+	Judged    uint32 `json:"judged"`
+	Failed    uint32 `json:"failed"`
+	Crashed   uint32 `json:"crashed"`
+	Truncated uint32 `json:"truncated"`
+	Empty     uint32 `json:"empty"`
+}
+
+// phases are the names of phases in JSON.
+var phases = map[rollout.Phase]string{
+	rollout.PhaseProbing: "probing", rollout.PhaseGrowing: "growing",
+	rollout.PhaseDone: "done", rollout.PhaseTakenBack: "taken_back",
+}
+
+func describeMove(r rollout.Report) *moveBody {
+	at := func(t time.Time) *time.Time {
+		if t.IsZero() {
+			return nil
+		}
+		return &t
+	}
+	counts := func(c rollout.Counts) countsBody {
+		return countsBody{Judged: c.N, Failed: c.Failed, Crashed: c.Crashed, Truncated: c.Truncated, Empty: c.Empty}
+	}
+	b := &moveBody{From: r.From, To: r.To, Share: r.Share, Owner: r.Owner, Fence: r.Fence, Deadline: at(r.Deadline),
+		GrowsAt: at(r.GrowsAt), FinishesAt: at(r.FinishesAt), WarmUntil: at(r.WarmUntil), Merged: r.Merged}
+	for _, e := range r.Routes {
+		b.Routes = append(b.Routes, routeBody{Route: e.Route, Old: counts(e.Old), New: counts(e.New), Test: e.Test, Score: e.Score, Bound: e.Bound})
+	}
+	return b
+}
+
 type upstreamBody struct {
 	Name        string `json:"name"`
 	Version     string `json:"version"`
@@ -122,10 +184,14 @@
 		return
 	}
 	b := statusBody{Daemon: s.o.Daemon, Service: name, StoreReachable: snap.StoreReachable,
-		Daemons: []daemonBody{}, Events: s.o.Control.Events().List("service/"+name, 0)}
+		Daemons: []daemonBody{}, Events: s.subjects("service/"+name, "move/"+name)}
 	if v != nil {
 		b.Revision, b.Serving, b.Next = v.Revision, v.Doc.Versions.Serving, v.Doc.Versions.Next
 		b.Shares = v.Shares
+		b.MovePhase, b.MoveReason = phases[v.Move.Phase], v.Move.Reason
+		if b.MovePhase != "" {
+			b.Move = describeMove(v.Move)
+		}
 		for _, u := range v.Upstreams {
 			b.Upstreams = append(b.Upstreams, upstreamBody{Name: u.Name, Version: u.Version, DataCentre: u.DataCentre,
 				State: u.State.String(), Running: u.Running, Waiting: u.Waiting, Incarnation: u.Incarnation})
@@ -150,6 +216,16 @@
 	c.JSON(http.StatusOK, b)
 }
 
+// subjects returns the events of several subjects in order.
+func (s *Server) subjects(names ...string) []control.Event {
+	out := []control.Event{}
+	for _, name := range names {
+		out = append(out, s.o.Control.Events().List(name, 0)...)
+	}
+	slices.SortFunc(out, func(a, b control.Event) int { return cmp.Compare(a.Seq, b.Seq) })
+	return out
+}
+
 // words puts a status into sentences.
 func words(b *statusBody, v *node.ServiceView) []string {
 	var out []string
@@ -167,6 +243,9 @@
 				b.Next, v.Doc.Versions.Deadline.UTC().Format(time.RFC3339), 100*b.Shares[b.Next]))
 		}
 	}
+	if v != nil && b.MovePhase != "" && v.Move.Text != "" {
+		out = append(out, "The move: "+v.Move.Text+".")
+	}
 	if r := b.Rejected; r != nil {
 		out = append(out, fmt.Sprintf("Revision %d has mistakes and takes no effect:", r.Revision))
 		for _, p := range r.Problems {
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -62,7 +62,8 @@
 		o.QueueSize = 256
 	}
 	if o.MaxSessions == 0 {
-		o.MaxSessions = 256
+		// The owner of a move may have a link from each of 350 daemons.
+		o.MaxSessions = 512
 	}
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
