--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,8 +51,8 @@
 	Seed uint64
 	// HeldBytes bounds the bytes held for all callers; default 64 MB.
 	HeldBytes int64
-	// WindowBytes bounds the text between an engine stream and its caller;
-	// default 16 KB.
+	// WindowBytes bounds the tokens between an engine stream and its caller;
+	// default 8 KB, which is a minute of output.
 	WindowBytes int
 	// WriteTimeout ends the connection of a caller that reads nothing for so
 	// long; default 2 min. The caller may reconnect with its cursor.
@@ -115,7 +115,8 @@
 	ids      atomic.Uint64
 	draining atomic.Bool
 	held     heldBytes
-	inflight inflight
+	inflight attemptCounts
+	gates    gates
 	avoided  avoided
 	pacer    pacer
 	cancels  canceller
@@ -149,7 +150,7 @@
 	}
 	orDefault(&o.CursorLifetime, 10*time.Minute)
 	orDefault(&o.HeldBytes, 64<<20)
-	orDefault(&o.WindowBytes, 16<<10)
+	orDefault(&o.WindowBytes, 8<<10)
 	orDefault(&o.WriteTimeout, 2*time.Minute)
 	orDefault(&o.AbandonGrace, 15*time.Second)
 	orDefault(&o.RetryShare, 0.1)
@@ -164,6 +165,7 @@
 	}
 	e.held.accounts = map[string]int64{}
 	e.inflight.n = map[string]int{}
+	e.gates = gates{e: e, by: map[string]*gate{}}
 	e.avoided.until = map[string]time.Time{}
 	e.pacer = pacer{e: e, p: recovery.NewPacer(o.Now(), o.Pacer), waiting: map[uint64]chan<- struct{}{}}
 	e.cancels.e = e
@@ -327,13 +329,13 @@
 	return hex.EncodeToString(b[:])
 }
 
-// inflight counts this daemon's attempts by upstream.
-type inflight struct {
+// attemptCounts counts this daemon's attempts by upstream.
+type attemptCounts struct {
 	mu sync.Mutex
 	n  map[string]int
 }
 
-func (f *inflight) add(upstream string, d int) {
+func (f *attemptCounts) add(upstream string, d int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.n[upstream] += d; f.n[upstream] == 0 {
@@ -341,7 +343,7 @@
 	}
 }
 
-func (f *inflight) get(upstream string) int {
+func (f *attemptCounts) get(upstream string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.n[upstream]
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -141,7 +141,11 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	resp, err := client.Do(r)
+	c := client
+	if ctx.Value(fastKey{}) != nil {
+		c = fastClient
+	}
+	resp, err := c.Do(r)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(resp.Body.Close)
 	return resp
@@ -174,7 +178,14 @@
 	return s
 }
 
-type connKey struct{}
+type (
+	connKey struct{}
+	// fastKey selects fastClient.
+	fastKey struct{}
+)
+
+// fastClient has the receive buffer of the system.
+var fastClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (s *events) next() (event, error) {
 	var ev event
@@ -608,6 +619,27 @@
 		Eventually(drained).Should(BeClosed())
 	})
 
+	// Guards against an answer that is cut without a word: a caller without
+	// cursors is told the truth, and its attempt does not run on.
+	It("refuses what is not streamed at the deadline", func() {
+		f := newFleet(1, 50)
+		f.at(address(0)).set(func(e *fakeEngine) { e.allowed = 20 })
+		d := newDaemon(f, snapshot(1, nil), nil)
+		go func() {
+			defer GinkgoRecover()
+			Eventually(func() int { return f.at(address(0)).get(func(e *fakeEngine) int { return len(e.starts) }) }, patience).Should(Equal(1))
+			expired, cancel := context.WithCancel(ctx)
+			cancel()
+			d.Drain(expired)
+		}()
+		resp := d.post(ctx, nil, map[string]any{"stream": false})
+		Expect(resp.StatusCode).To(Equal(503))
+		b := refused(resp)
+		Expect(b.Error.Code).To(Equal("draining"))
+		Expect(b.Error.Outcome).To(Equal("may_have_run"))
+		Eventually(func() int { return f.at(address(0)).get(func(e *fakeEngine) int { return len(e.cancels) }) }, patience).Should(Equal(1))
+	})
+
 	// Guards against a request that a graceful shutdown cuts (P8).
 	It("hands streams over at the deadline without a gap", func() {
 		f := newFleet(1, 50)
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -7,6 +7,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -52,7 +53,9 @@
 	queue            trace.Span
 	snap             *node.Snapshot
 	stalled          bool
-	win              *window // win and out are nil when the answer is not streamed
+	taken            time.Time // when the caller last took something
+	full             time.Time // when the window became full, zero if it is not
+	win              *window   // win and out are nil when the answer is not streamed
 	out              *output
 	result           *ending
 	gone             bool
@@ -75,6 +78,7 @@
 	first, last time.Time
 	tokens      int
 	status      int // of the engine's refusal, 0 if it did not refuse
+	held        *holding
 }
 
 // outcome is that of an attempt that another one follows.
@@ -143,6 +147,15 @@
 		return
 	}
 	defer e.leave(g)
+	// A generation that is continued here runs already and waits for nobody.
+	if cl.cursor == nil {
+		release, r := e.gates.admit(c.Request.Context(), g.id, cl)
+		if r != nil {
+			deny(*r)
+			return
+		}
+		defer release()
+	}
 	e.exportAccount(cl.account)
 	if cl.cursor == nil {
 		e.began()
@@ -223,11 +236,23 @@
 	g.begin(t, attribute.Bool("adopted", true))
 }
 
+// delivered is the number of tokens that the caller holds.
+func (g *generation) delivered() int {
+	switch {
+	case g.machine != nil:
+		return g.machine.Delivered()
+	case g.call.cursor != nil:
+		return g.call.cursor.Next
+	}
+	return 0
+}
+
 // begin opens the accounts of an attempt.
 func (g *generation) begin(t *try, attrs ...attribute.KeyValue) {
 	t.ctx, t.span = g.e.tracer.Start(g.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(append(attrs,
 		attribute.String("upstream", t.upstream), attribute.String("version", t.version), attribute.Int("attempt", t.number))...))
 	g.e.inflight.add(t.upstream, 1)
+	t.held = g.e.gates.hold(g.call, t.upstream, g.delivered())
 	g.tries[t.number] = t
 	g.last = t
 	if g.win != nil {
@@ -239,6 +264,7 @@
 func (g *generation) end(t *try, outcome string) {
 	delete(g.tries, t.number)
 	g.e.inflight.add(t.upstream, -1)
+	g.e.gates.drop(t.held)
 	t.span.SetAttributes(attribute.String("outcome", outcome), attribute.Int("tokens", t.tokens))
 	t.span.End()
 	r := Result{
@@ -265,13 +291,18 @@
 		if at, ok := g.machine.NextTimer(); ok {
 			wait = min(wait, at.Sub(g.e.o.Now()))
 		}
+		events := g.events
+		if !g.full.IsZero() {
+			// The silence of a connection that is not read means nothing.
+			events, wait = nil, g.stallDue().Sub(g.e.o.Now())
+		}
 		timer.Reset(max(wait, 0))
 		var changed chan struct{}
 		if g.win != nil {
 			changed = g.win.changed
 		}
 		select {
-		case ev := <-g.events:
+		case ev := <-events:
 			g.event(ev)
 		case <-ctx.Done():
 			g.leave()
@@ -292,6 +323,12 @@
 			g.step(recovery.HandOver{})
 			g.result = &ending{reconnect: true}
 		case <-timer.C:
+			if !g.full.IsZero() {
+				if !g.e.o.Now().Before(g.stallDue()) {
+					g.stall()
+				}
+				continue
+			}
 			// Events that arrived before the timer are older than it.
 			select {
 			case ev := <-g.events:
@@ -320,6 +357,7 @@
 	case recovery.Token:
 		if t := g.tries[ev.Attempt]; t != nil {
 			t.last = g.e.o.Now()
+			t.held.produced()
 			if t.tokens++; t.tokens == 1 {
 				t.first = t.last
 			}
@@ -341,13 +379,40 @@
 	for _, a := range actions {
 		g.act(a)
 	}
-	if g.win != nil && !g.stalled && g.result == nil && g.win.used() > g.windowLimit() {
-		g.stalled = true
-		g.e.m.stalls.Inc()
-		g.step(recovery.CallerStalled{})
+	if g.win != nil && !g.stalled && g.full.IsZero() && g.win.used() > g.windowLimit() {
+		g.full = g.e.o.Now()
+		g.taken = g.full
 	}
 }
 
+// A caller counts as stalled when its window is full and it takes nothing for
+// stallAfter, or when the window stays full for stallAlways. Until then the
+// engine's connection is only read no further: a log that is resumed comes
+// faster than any caller reads, and a new connection for each full window
+// would send most of it several times. The second bound is there since the
+// kernel goes on to buffer what the engine sends.
+const (
+	stallAfter  = 250 * time.Millisecond
+	stallAlways = time.Second
+)
+
+// stallDue returns when the caller of a full window counts as stalled.
+func (g *generation) stallDue() time.Time {
+	at, always := g.taken.Add(stallAfter), g.full.Add(stallAlways)
+	if always.Before(at) {
+		return always
+	}
+	return at
+}
+
+// stall detaches the engine from a caller that does not read.
+func (g *generation) stall() {
+	g.full = time.Time{}
+	g.stalled = true
+	g.e.m.stalls.Inc()
+	g.step(recovery.CallerStalled{})
+}
+
 // bufferBytes is what a connection to a caller holds besides the window: the
 // kernel's send buffer, the buffers of net/http (4 KB and 2 KB) and the events
 // of one write.
@@ -372,6 +437,10 @@
 func (g *generation) reading() {
 	limit := g.windowLimit()
 	n := g.win.used()
+	g.taken = g.e.o.Now()
+	if n <= limit/2 {
+		g.full = time.Time{}
+	}
 	if !g.stalled || n > limit/4 {
 		return
 	}
@@ -452,9 +521,11 @@
 		DataCentre: g.e.o.DataCentre, Region: g.e.o.Region, Version: p.Version, Sent: g.e.inflight.get,
 		Exclude: g.e.avoided.names(g.e.o.Now(), p.Exclude),
 	}
+	full := g.e.gates.full(g.call, p.Recovery)
+	r.Exclude = append(slices.Clone(r.Exclude), full...)
 	c, ok := routing.Pick(g.rnd, view, r)
-	if !ok && len(r.Exclude) > len(p.Exclude) {
-		r.Exclude = p.Exclude
+	if !ok && len(r.Exclude) > len(p.Exclude)+len(full) {
+		r.Exclude = append(slices.Clone(p.Exclude), full...)
 		c, ok = routing.Pick(g.rnd, view, r)
 	}
 	if !ok {
