--- a/node/moves.go
+++ b/node/moves.go
@@ -216,7 +216,12 @@
 func (n *Node) moveStep(now time.Time, service string, ev rollout.Event) []Action {
 	m := n.movers[service]
 	var out []Action
-	for _, a := range m.mover.Step(now, ev) {
+	acts := m.mover.Step(now, ev)
+	if len(acts) > 0 {
+		// The status in the snapshot changed, not only the shares.
+		n.dirty[service] = true
+	}
+	for _, a := range acts {
 		switch a := a.(type) {
 		case rollout.SetShare:
 			n.setShare(service, m, a)
