docs: follow the connected admission

The test of codes found one missing code; it now reads package admission too, which found three more.

--- a/refusal/page_test.go
+++ b/refusal/page_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 	}
-	for _, dir := range []string{"claim", "entry", "operator", "plain", "recovery"} {
+	for _, dir := range []string{"admission", "claim", "entry", "operator", "plain", "recovery"} {
 		files, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
 		if err != nil {
 			t.Fatal(err)
