bench: measure version moves, slow readers, floods, poison and store outages

Purpose: the tool knew engine and daemon losses only, and its resume latency left out losses that the daemon hides.

Change: scenarios for a good move and five kinds of bad ones, 1,000 slow readers, a store outage with non-idempotent calls, a flooding account and a request that crashes engines. Resume latency is the longest time without output that overlaps a loss of the request's engine, connection or daemon; the stand-in engine names the requests that it holds. The stand-in engine can be bad on one route, and the caller client sends chat requests.

Ruled out: matching requests to engines by the daemon's engine request IDs, which callers do not see.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -29,6 +29,10 @@
 	// Duration is how long new requests arrive; 0 means the scenario's own.
 	Duration time.Duration
 	Progress io.Writer
+	// Without names a mechanism that is switched off; see Mechanisms.
+	Without string
+	// Baseline "direct" sends the same load once more straight to the engines.
+	Baseline string
 }
 
 // Scenario is one experiment.
@@ -39,6 +43,15 @@
 	Duration time.Duration
 	Fleet    fleet.Options
 	Workload Workload
+	// More is load on top of Workload.
+	More []Workload
+	// Slow makes every caller stop reading after a quarter of its answer until
+	// this time of the run; 0 makes none.
+	Slow time.Duration
+	// Prepare runs before the load, for example to set faults.
+	Prepare func(r *run)
+	// Background runs beside the load, for example plain calls.
+	Background func(ctx context.Context, r *run, d time.Duration) error
 	// Faults returns the schedule of faults for a run of the given length.
 	Faults func(r *run, d time.Duration) []fault
 	// Finish runs after the load, for example to wait for a move.
@@ -49,10 +62,16 @@
 	at   time.Duration
 	name string
 	do   func(ctx context.Context) error
+	// engines and daemon (a caller address) are what the fault hits: requests
+	// that they hold when it begins count in the resume latency.
+	engines []*fleet.Engine
+	daemon  string
 }
 
-// drainTime is how long a run waits for answers after the last arrival.
-const drainTime = 30 * time.Second
+// runLimit is how long a scenario may take from the first arrival to the end
+// of its drain. The fleet's start takes up to 2 s of the 40 s that a scenario
+// has.
+const runLimit = 38 * time.Second
 
 // run is one execution of a scenario.
 type run struct {
@@ -68,6 +87,11 @@
 
 	firstToken, between, resume *recorder
 	clients                     []*client.Client
+	smallFirst                  *recorder // first-token time of small accounts
+	hits                        map[string][]time.Time
+	lostDaemons                 []daemonLoss
+	watch                       watch
+	extra                       map[string]float64
 }
 
 // Run executes a scenario and returns its report.
@@ -82,8 +106,13 @@
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
-	r := &run{o: o, s: s, rnd: rand.New(rand.NewPCG(o.Seed, 0)), firstToken: newRecorder(), between: newRecorder(), resume: newRecorder()}
-	r.report = Report{Scenario: s.Name, Seed: o.Seed, DurationSeconds: o.Duration.Seconds()}
+	r := &run{o: o, s: s, rnd: rand.New(rand.NewPCG(o.Seed, 0)), firstToken: newRecorder(), between: newRecorder(), resume: newRecorder(),
+		smallFirst: newRecorder(), hits: map[string][]time.Time{}, extra: map[string]float64{}}
+	if err := r.switchOff(o.Without); err != nil {
+		return nil, err
+	}
+	s = r.s
+	r.report = Report{Scenario: s.Name, Seed: o.Seed, Without: o.Without, DurationSeconds: o.Duration.Seconds()}
 	f, err := fleet.Start(ctx, s.Fleet)
 	if err != nil {
 		return nil, err
@@ -98,24 +127,42 @@
 
 func (r *run) execute(ctx context.Context) error {
 	load := r.s.Workload.arrivals(r.rnd, r.o.Duration)
+	for i, w := range r.s.More {
+		w.Label = fmt.Sprintf("%c", 'a'+i)
+		load = append(load, w.arrivals(r.rnd, r.o.Duration)...)
+	}
+	sort.SliceStable(load, func(i, j int) bool { return load[i].at < load[j].at })
 	var faults []fault
 	if r.s.Faults != nil {
 		faults = r.s.Faults(r, r.o.Duration)
 	}
+	if r.s.Prepare != nil {
+		r.s.Prepare(r)
+	}
 	before := r.counters()
+	control := r.controlBytes(ctx)
 	cpu := processorTime()
 	r.began = time.Now()
-	ctx, cancel := context.WithTimeout(ctx, r.o.Duration+drainTime)
+	ctx, cancel := context.WithTimeout(ctx, max(runLimit, r.o.Duration+10*time.Second))
 	defer cancel()
 	defer r.closeClients()
 
 	var wg sync.WaitGroup
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	wg.Go(func() {
 		if err := r.inject(ctx, faults); err != nil {
 			failed <- err
 		}
 	})
+	if r.s.Background != nil {
+		wg.Go(func() {
+			if err := r.s.Background(ctx, r, r.o.Duration); err != nil {
+				failed <- err
+			}
+		})
+	}
+	stopWatch := r.startWatch(ctx)
+	defer stopWatch()
 	for _, a := range load {
 		if err := sleepUntil(ctx, r.began.Add(a.at)); err != nil {
 			return err
@@ -134,7 +181,14 @@
 			return err
 		}
 	}
+	stopWatch()
+	elapsed := time.Since(r.began)
 	r.summarise(before, processorTime()-cpu)
+	r.summariseControl(ctx, control, before.storeCalls, elapsed)
+	r.summariseWatch()
+	if r.o.Baseline == baselineDirect {
+		return r.runDirect(ctx, load)
+	}
 	return nil
 }
 
@@ -145,6 +199,7 @@
 			return err
 		}
 		r.progress("fault: %s", f.name)
+		r.markHits(f)
 		r.mu.Lock()
 		r.report.Faults = append(r.report.Faults, FaultMark{AtSeconds: time.Since(r.began).Seconds(), Name: f.name})
 		r.mu.Unlock()
@@ -161,15 +216,24 @@
 
 // call sends one request, checks its answer and records what the caller saw.
 func (r *run) call(ctx context.Context, a arrival) {
-	c := r.client(a.account)
+	c := r.client(ctx, a)
 	sent := time.Since(r.began)
-	answer, err := c.Complete(ctx, client.Request{Model: fleet.Model, Prompt: a.prompt, MaxTokens: a.tokens})
-	check := standin.CheckAnswer(answer.Text, standin.Answer{Model: fleet.Model, Prompt: a.prompt, Versions: []string{"v1", "v2"}, Tokens: a.tokens})
-	r.firstToken.add(answer.FirstToken)
-	for _, g := range answer.Gaps {
-		r.between.add(g)
+	answer, err := c.Complete(ctx, client.Request{Model: fleet.Model, Prompt: a.prompt, MaxTokens: a.tokens, Chat: a.chat})
+	asked := a.asked()
+	check := standin.CheckAnswer(answer.Text, standin.Answer{Model: fleet.Model, Prompt: asked, Versions: []string{"v1", "v2"}, Tokens: a.tokens})
+	if answer.FirstToken > 0 {
+		r.firstToken.add(answer.FirstToken)
+		if r.s.Workload.small(a.account) {
+			r.smallFirst.add(answer.FirstToken)
+		}
 	}
-	for _, g := range answer.ResumeGaps {
+	if r.s.Slow == 0 {
+		// The pauses of slow callers are their own.
+		for _, g := range answer.Gaps {
+			r.between.add(g)
+		}
+	}
+	for _, g := range r.resumeGaps(asked, answer) {
 		r.resume.add(g)
 	}
 	r.mu.Lock()
@@ -205,15 +269,24 @@
 
 // client returns a caller of the account. Each has the daemons in another
 // order, as behind a balancer.
-func (r *run) client(account int) *client.Client {
+func (r *run) client(ctx context.Context, a arrival) *client.Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := r.rnd.IntN(len(r.f.Live()))
-	c := client.New(client.Options{
+	o := client.Options{
 		Addresses: r.f.Callers(first),
-		Key:       fleet.AccountKey(account),
-		HoldText:  true,
-	})
+		Key:       fleet.AccountKey(a.account),
+		HoldText:  r.o.Without != withoutText,
+	}
+	if r.s.Slow > 0 {
+		o.ReceiveBuffer = slowReceiveBuffer
+		o.OnToken = func(i int, _ string) {
+			if i == a.tokens/4 {
+				_ = sleepUntil(ctx, r.began.Add(r.s.Slow))
+			}
+		}
+	}
+	c := client.New(o)
 	r.clients = append(r.clients, c)
 	return c
 }
@@ -239,7 +312,7 @@
 
 // counters are sums over all engines and the store.
 type counters struct {
-	generated, prefilledAgain, crashes int64
+	generated, prefilledAgain, crashes, storeCalls int64
 }
 
 func (r *run) counters() counters {
@@ -250,6 +323,7 @@
 		c.prefilledAgain += s.PrefilledAgain
 		c.crashes += s.Crashes
 	}
+	c.storeCalls = r.f.Store.Stats().Calls()
 	return c
 }
 
--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,127 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func loadOf(seed uint64, w Workload) []arrival {
+	return w.arrivals(rand.New(rand.NewPCG(seed, 0)), 10*time.Second)
+}
+
+var _ = ginkgo.Describe("a workload", func() {
+	// Guards against a run that cannot be repeated with its seed.
+	ginkgo.It("depends on its seed only", func() {
+		Expect(loadOf(7, moveLoad)).To(Equal(loadOf(7, moveLoad)))
+		Expect(loadOf(8, moveLoad)).NotTo(Equal(loadOf(7, moveLoad)))
+	})
+
+	// Guards against two requests that share a prompt: a crossed answer would
+	// not be noticed, and a fault would be put down to the wrong request.
+	ginkgo.It("never repeats a prompt", func() {
+		extra := standardLoad
+		extra.Label = "a"
+		seen := map[string]bool{}
+		for _, a := range append(loadOf(1, standardLoad), loadOf(1, extra)...) {
+			Expect(seen).NotTo(HaveKey(a.prompt))
+			seen[a.prompt] = true
+		}
+	})
+
+	// Guards against load outside the time that a scenario gives it.
+	ginkgo.It("keeps to its bounds and order", func() {
+		w := standardLoad
+		w.From, w.Until = 4*time.Second, 6*time.Second
+		load := loadOf(1, w)
+		Expect(load).NotTo(BeEmpty())
+		last := 4 * time.Second
+		for _, a := range load {
+			Expect(a.at).To(And(BeNumerically(">=", last), BeNumerically("<", 6*time.Second)))
+			last = a.at
+		}
+	})
+
+	// Guards against small accounts that are measured as large ones.
+	ginkgo.It("knows its small accounts", func() {
+		Expect(standardLoad.small(0)).To(BeFalse())
+		Expect(standardLoad.small(9)).To(BeTrue())
+	})
+})
+
+var _ = ginkgo.Describe("the resume latency", func() {
+	sent := time.Unix(1000, 0)
+	ms := time.Millisecond
+	gaps := []time.Duration{10 * ms, 10 * ms, 900 * ms, 10 * ms}
+	at := func(d time.Duration) time.Time { return sent.Add(d) }
+
+	// Guards against figures that leave out the pause of a hidden loss, or that
+	// count a pause before the fault.
+	ginkgo.DescribeTable("is the longest pause that overlaps the fault",
+		func(fault time.Duration, want time.Duration, hit bool) {
+			got, ok := gapAt(sent, 100*ms, gaps, at(fault))
+			Expect(ok).To(Equal(hit))
+			Expect(got).To(Equal(want))
+		},
+		ginkgo.Entry("before the request", -ms, time.Duration(0), false),
+		ginkgo.Entry("while the first token is awaited", 40*ms, 60*ms, true),
+		ginkgo.Entry("with tokens on their way", 105*ms, 900*ms, true),
+		ginkgo.Entry("inside the pause", 500*ms, 900*ms, true),
+		ginkgo.Entry("after the pause", 1025*ms, 10*ms, true),
+		ginkgo.Entry("after the end", 1031*ms, time.Duration(0), false),
+	)
+})
+
+var _ = ginkgo.Describe("a report", func() {
+	report := func() *Report {
+		return &Report{Scenario: "steady", Extra: map[string]float64{"bad_share_max": 0.03},
+			Faults: []FaultMark{{AtSeconds: 1, Name: "engine dies"}},
+			Points: []Point{{AtSeconds: 0.5, FirstTokenMS: 12}}, Series: []Sample{{AtSeconds: 0.5, HeldBytes: 7}}}
+	}
+
+	// Guards against figures that a reader of the JSON looks for in vain.
+	ginkgo.It("is one flat JSON object", func() {
+		var out bytes.Buffer
+		Expect(report().WriteJSON(&out)).To(Succeed())
+		var m map[string]any
+		Expect(json.Unmarshal(out.Bytes(), &m)).To(Succeed())
+		Expect(m).To(HaveKeyWithValue("bad_share_max", 0.03))
+		Expect(m).To(HaveKey("resume_latency_ms"))
+		Expect(m).NotTo(HaveKey("extra"))
+	})
+
+	// Guards against plots without the faults that explain them.
+	ginkgo.It("marks the faults in its plots", func() {
+		var out bytes.Buffer
+		Expect(report().WriteHTML(&out)).To(Succeed())
+		Expect(strings.Count(out.String(), "engine dies")).To(BeNumerically(">=", 5))
+	})
+
+	// Guards against quantiles of the wrong unit or sample.
+	ginkgo.It("summarises known points", func() {
+		rec := newRecorder()
+		for i := 1; i <= 100; i++ {
+			rec.add(time.Duration(i) * time.Millisecond)
+		}
+		q := rec.quantiles()
+		Expect(q.Count).To(Equal(int64(100)))
+		Expect(q.P50).To(BeNumerically("~", 50, 0.1))
+		Expect(q.P95).To(BeNumerically("~", 95, 0.1))
+		Expect(q.Max).To(BeNumerically("~", 100, 0.1))
+	})
+})
+
+var _ = ginkgo.Describe("--without", func() {
+	// Guards against an experiment that silently runs with the mechanism.
+	ginkgo.It("refuses unknown names", func() {
+		Expect((&run{}).switchOff("nothing")).To(MatchError(ContainSubstring("unknown mechanism")))
+		r := &run{}
+		Expect(r.switchOff("resume")).To(Succeed())
+		Expect(r.s.Fleet.NoResume).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/bench/direct.go
@@ -0,0 +1,124 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/client"
+	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/fleet"
+	"github.com/gooseberryroad/gooseberryroad/kernel"
+)
+
+// baselineDirect sends the load straight to the engines.
+const baselineDirect = "direct"
+
+// Baselines returns the names of the baselines.
+func Baselines() []string { return []string{"", baselineDirect} }
+
+// direct is the baseline without daemons: it knows how many of its requests
+// each engine holds, which no daemon of several knows.
+type direct struct {
+	r      *run
+	client engine.Client
+
+	mu             sync.Mutex
+	running        []int
+	failed         int
+	first, between *recorder
+}
+
+// runDirect sends the load once more, without faults, to the live engines.
+func (r *run) runDirect(ctx context.Context, load []arrival) error {
+	c, err := kernel.Load[engine.Client]("engine.completions", kernel.Options{})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(runLimit, r.o.Duration+10*time.Second))
+	defer cancel()
+	d := &direct{r: r, client: c, running: make([]int, len(r.f.Engines)), first: newRecorder(), between: newRecorder()}
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i, a := range load {
+		if err := sleepUntil(ctx, began.Add(a.at)); err != nil {
+			return err
+		}
+		wg.Go(func() { d.call(ctx, i, a) })
+	}
+	wg.Wait()
+	r.progress("baseline: all %d requests answered, %d failed", len(load), d.failed)
+	first, between := d.first.quantiles(), d.between.quantiles()
+	r.report.DirectFirstTokenMS, r.report.DirectBetweenTokensMS = &first, &between
+	r.extra["direct_failed"] = float64(d.failed)
+	if first.P95 > 0 && between.P95 > 0 {
+		r.extra["first_token_p95_to_direct"] = r.report.FirstTokenMS.P95 / first.P95
+		r.extra["between_tokens_p95_to_direct"] = r.report.BetweenTokensMS.P95 / between.P95
+	}
+	return nil
+}
+
+// pick returns the live engine of v1 with the fewest running requests.
+func (d *direct) pick() int {
+	best := -1
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, e := range d.r.f.Engines {
+		if e.Version == "v1" && e.Stats().Alive && (best < 0 || d.running[i] < d.running[best]) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		d.running[best]++
+	}
+	return best
+}
+
+func (d *direct) call(ctx context.Context, n int, a arrival) {
+	i := d.pick()
+	err := errors.New("no engine is alive")
+	if i >= 0 {
+		err = d.stream(ctx, d.r.f.Engines[i].Address(), n, a)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if i >= 0 {
+		d.running[i]--
+	}
+	if err != nil {
+		d.failed++
+	}
+}
+
+func (d *direct) stream(ctx context.Context, address string, n int, a arrival) error {
+	q := engine.Request{ID: "direct-" + strconv.Itoa(n), Model: fleet.Model, Prompt: a.prompt, MaxTokens: a.tokens}
+	if a.chat {
+		q.Prompt = ""
+		for _, m := range client.Messages(a.prompt) {
+			q.Messages = append(q.Messages, engine.Message{Role: m.Role, Content: m.Content})
+		}
+	}
+	last := time.Now()
+	s, err := d.client.Start(ctx, address, q)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for tokens := 0; ; tokens++ {
+		if _, err := s.Next(ctx); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		now := time.Now()
+		if tokens == 0 {
+			d.first.add(now.Sub(last))
+		} else {
+			d.between.add(now.Sub(last))
+		}
+		last = now
+	}
+}
--- a/bench/report.go
+++ b/bench/report.go
@@ -11,6 +11,7 @@
 type Report struct {
 	Scenario        string  `json:"scenario"`
 	Seed            uint64  `json:"seed"`
+	Without         string  `json:"without,omitempty"`
 	DurationSeconds float64 `json:"duration_s"`
 	Processors      int     `json:"processors"`
 
@@ -22,8 +23,8 @@
 
 	FirstTokenMS    Quantiles `json:"first_token_ms"`
 	BetweenTokensMS Quantiles `json:"between_tokens_ms"`
-	// ResumeLatencyMS is measured at callers whose connection broke. Losses
-	// that the daemon hides show in BetweenTokensMS.
+	// ResumeLatencyMS is the longest time without output that overlaps the loss
+	// of the request's engine, connection or daemon, at the caller.
 	ResumeLatencyMS Quantiles `json:"resume_latency_ms"`
 
 	TokensDelivered      int64   `json:"tokens_delivered"`
@@ -35,12 +36,25 @@
 	// callers together for each delivered token.
 	ProcessCPUPerTokenUS float64 `json:"process_cpu_us_per_token"`
 
-	// Extra holds figures of single scenarios by their key.
-	Extra map[string]float64 `json:"extra,omitempty"`
+	// ControlBytesPerSecond is what a daemon sends and receives on peer links,
+	// the mean over the daemons that lived through the run.
+	ControlBytesPerSecond float64 `json:"control_bytes_per_s"`
+	StoreCallsPerSecond   float64 `json:"store_calls_per_s"`
+	// LoadAverage is the machine's load over the last minute at the end.
+	LoadAverage float64 `json:"load_average"`
+
+	// DirectFirstTokenMS and DirectBetweenTokensMS are those of the baseline.
+	DirectFirstTokenMS    *Quantiles `json:"direct_first_token_ms,omitempty"`
+	DirectBetweenTokensMS *Quantiles `json:"direct_between_tokens_ms,omitempty"`
+
+	// Extra holds figures of single scenarios by their key. In JSON they are
+	// beside the others.
+	Extra map[string]float64 `json:"-"`
 
 	Faults   []FaultMark `json:"faults,omitempty"`
 	Failures []string    `json:"failures,omitempty"`
 	Points   []Point     `json:"-"`
+	Series   []Sample    `json:"-"`
 }
 
 // FaultMark is a fault as it was injected.
@@ -56,6 +70,20 @@
 	Broken, Refused                   bool
 }
 
+// MarshalJSON puts the figures of Extra beside the others.
+func (r *Report) MarshalJSON() ([]byte, error) {
+	type plain Report
+	b, err := json.Marshal((*plain)(r))
+	if err != nil || len(r.Extra) == 0 {
+		return b, err
+	}
+	extra, err := json.Marshal(r.Extra)
+	if err != nil {
+		return nil, err
+	}
+	return append(append(b[:len(b)-1], ','), extra[1:]...), nil
+}
+
 // WriteJSON writes the report as one JSON object.
 func (r *Report) WriteJSON(w io.Writer) error {
 	e := json.NewEncoder(w)
@@ -78,6 +106,13 @@
 		fmt.Sprintf("engine crashes  %d", r.EngineCrashes),
 		fmt.Sprintf("processor       %.1f us a token, all processes", r.ProcessCPUPerTokenUS),
 	}
+	lines = append(lines,
+		fmt.Sprintf("control         %.0f B/s a daemon", r.ControlBytesPerSecond),
+		fmt.Sprintf("store           %.1f calls/s", r.StoreCallsPerSecond),
+		fmt.Sprintf("load average    %.1f", r.LoadAverage))
+	if r.DirectFirstTokenMS != nil && r.DirectBetweenTokensMS != nil {
+		lines = append(lines, "direct first    "+q(*r.DirectFirstTokenMS), "direct between  "+q(*r.DirectBetweenTokensMS))
+	}
 	for _, k := range sortedKeys(r.Extra) {
 		lines = append(lines, fmt.Sprintf("%-15s %g", k, r.Extra[k]))
 	}
--- /dev/null
+++ b/bench/resume.go
@@ -0,0 +1,81 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/client"
+)
+
+// daemonLoss is the loss of the daemon with a caller address.
+type daemonLoss struct {
+	address string
+	at      time.Time
+}
+
+// lateTokens is how long after a fault tokens that were on their way may still
+// arrive. A pause that begins within it belongs to the fault.
+const lateTokens = 500 * time.Millisecond
+
+// markHits notes which requests a fault hits, before it begins.
+func (r *run) markHits(f fault) {
+	var prompts []string
+	for _, e := range f.engines {
+		prompts = append(prompts, e.HeldPrompts()...)
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range prompts {
+		r.hits[p] = append(r.hits[p], now)
+	}
+	if f.daemon != "" {
+		r.lostDaemons = append(r.lostDaemons, daemonLoss{address: f.daemon, at: now})
+	}
+}
+
+// resumeGaps returns the pauses that faults caused in an answer. A broken
+// connection that no known fault explains counts as well.
+func (r *run) resumeGaps(prompt string, a *client.Answer) []time.Duration {
+	r.mu.Lock()
+	faults := append([]time.Time(nil), r.hits[prompt]...)
+	for _, l := range r.lostDaemons {
+		for _, served := range a.Daemons {
+			if served == l.address {
+				faults = append(faults, l.at)
+			}
+		}
+	}
+	r.mu.Unlock()
+	var out []time.Duration
+	for _, at := range faults {
+		if gap, ok := gapAt(a.Sent, a.FirstToken, a.Gaps, at); ok {
+			out = append(out, gap)
+		}
+	}
+	if len(out) == 0 {
+		out = a.ResumeGaps
+	}
+	return out
+}
+
+// gapAt returns the longest time without output that overlaps a fault, and
+// false when the answer had ended or had not begun. Before the first token the
+// time counts from the fault.
+func gapAt(sent time.Time, first time.Duration, gaps []time.Duration, at time.Time) (time.Duration, bool) {
+	if at.Before(sent) || first == 0 {
+		return 0, false
+	}
+	begin := sent.Add(first)
+	if at.Before(begin) {
+		return begin.Sub(at), true
+	}
+	var longest time.Duration
+	for _, g := range gaps {
+		end := begin.Add(g)
+		if end.After(at) && begin.Before(at.Add(lateTokens)) {
+			longest = max(longest, g)
+		}
+		begin = end
+	}
+	return longest, longest > 0
+}
--- a/bench/scenarios.go
+++ b/bench/scenarios.go
@@ -41,6 +41,8 @@
 	},
 }
 
+func init() { scenarios = append(scenarios, append(moveScenarios(), trafficScenarios()...)...) }
+
 // standardFleet has the size of one of today's deployments.
 var standardFleet = fleet.Options{Daemons: 6, Engines: 25, DataCentres: 4, Accounts: 10}
 
@@ -64,7 +66,7 @@
 func Describe() []string {
 	var lines []string
 	for _, s := range scenarios {
-		lines = append(lines, fmt.Sprintf("%-18s %s", s.Name, s.Help))
+		lines = append(lines, fmt.Sprintf("%-22s %s", s.Name, s.Help))
 	}
 	return lines
 }
@@ -83,16 +85,20 @@
 	for at := 2 * time.Second; at < d; at += 2 * time.Second {
 		e := r.f.Engines[r.rnd.IntN(len(r.f.Engines))]
 		out = append(out,
-			fault{at, "engine " + e.Name + " dies", func(context.Context) error { e.Crash("bench"); return nil }},
-			fault{at + time.Second, "engine " + e.Name + " starts", func(context.Context) error { return e.Start() }})
+			fault{at: at, name: "engine " + e.Name + " dies", do: func(context.Context) error { e.Crash("bench"); return nil }, engines: []*fleet.Engine{e}},
+			fault{at: at + time.Second, name: "engine " + e.Name + " starts", do: func(context.Context) error { return e.Start() }})
 	}
 	return out
 }
 
 func massLoss(r *run, d time.Duration) []fault {
-	return []fault{{d / 3, "a third of the engines die", func(context.Context) error {
-		for i := 0; i < len(r.f.Engines); i += 3 {
-			r.f.Engines[i].Crash("bench")
+	var lost []*fleet.Engine
+	for i := 0; i < len(r.f.Engines); i += 3 {
+		lost = append(lost, r.f.Engines[i])
+	}
+	return []fault{{at: d / 3, name: "a third of the engines die", engines: lost, do: func(context.Context) error {
+		for _, e := range lost {
+			e.Crash("bench")
 		}
 		return nil
 	}}}
@@ -101,7 +107,7 @@
 func entryLosses(r *run, d time.Duration) []fault {
 	var out []fault
 	for i, at := 0, 3*time.Second; at < d; i, at = i+1, at+3*time.Second {
-		out = append(out, fault{at, fmt.Sprintf("daemon %d is killed", i), func(ctx context.Context) error {
+		out = append(out, fault{at: at, name: fmt.Sprintf("daemon %d is killed", i), daemon: r.f.Callers(i)[0], do: func(ctx context.Context) error {
 			r.f.KillDaemon(i)
 			_, err := r.f.AddDaemon(ctx)
 			return err
@@ -114,7 +120,7 @@
 	var out []fault
 	for at := 2 * time.Second; at < d; at += 2 * time.Second {
 		e := r.f.Engines[r.rnd.IntN(len(r.f.Engines))]
-		out = append(out, fault{at, "connections of " + e.Name + " go silent", func(context.Context) error { e.HangOpenConnections(); return nil }})
+		out = append(out, fault{at: at, name: "connections of " + e.Name + " go silent", engines: []*fleet.Engine{e}, do: func(context.Context) error { e.HangOpenConnections(); return nil }})
 	}
 	return out
 }
@@ -122,16 +128,7 @@
 func pausedEngine(r *run, d time.Duration) []fault {
 	e := r.f.Engines[0]
 	return []fault{
-		{d / 3, "engine " + e.Name + " pauses", func(context.Context) error { e.Pause(); return nil }},
-		{d/3 + 6*time.Second, "engine " + e.Name + " goes on", func(context.Context) error { e.Continue(); return nil }},
-	}
-}
-
-func sortedKeys(m map[string]float64) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
+		{at: d / 3, name: "engine " + e.Name + " pauses", engines: []*fleet.Engine{e}, do: func(context.Context) error { e.Pause(); return nil }},
+		{at: d/3 + 6*time.Second, name: "engine " + e.Name + " goes on", do: func(context.Context) error { e.Continue(); return nil }},
 	}
-	sort.Strings(keys)
-	return keys
 }
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/client"
+	"github.com/gooseberryroad/gooseberryroad/standin"
 )
 
 // Workload describes open-loop arrivals: requests come at their time, however
@@ -20,6 +24,17 @@
 	PromptWords int
 	// Accounts get requests by Weights; the first accounts are the large ones.
 	Weights []float64
+	// ChatShare is the share of requests on the chat route.
+	ChatShare float64
+	// From and Until bound the arrivals within a run; 0 is its begin and end.
+	From, Until time.Duration
+	// Label tells the prompts of several workloads of a run apart.
+	Label string
+}
+
+// small reports whether an account has the smallest weight.
+func (w Workload) small(account int) bool {
+	return account < len(w.Weights) && w.Weights[account] <= slices.Min(w.Weights)
 }
 
 // arrival is one request of a workload.
@@ -28,6 +43,19 @@
 	account int
 	prompt  string
 	tokens  int
+	chat    bool
+}
+
+// asked is the prompt as an engine sees it.
+func (a arrival) asked() string {
+	if !a.chat {
+		return a.prompt
+	}
+	var messages []standin.Message
+	for _, m := range client.Messages(a.prompt) {
+		messages = append(messages, standin.Message{Role: m.Role, Content: m.Content})
+	}
+	return standin.PromptOf(messages)
 }
 
 // sharedPrefixes is the number of different openings of prompts. Requests of
@@ -37,7 +65,10 @@
 // arrivals returns all requests of a run in order of time.
 func (w Workload) arrivals(rnd *rand.Rand, d time.Duration) []arrival {
 	var out []arrival
-	for at := time.Duration(0); ; {
+	if w.Until > 0 {
+		d = min(d, w.Until)
+	}
+	for at := w.From; ; {
 		at += time.Duration(rnd.ExpFloat64() / w.PerSecond * float64(time.Second))
 		if at >= d {
 			return out
@@ -46,7 +77,7 @@
 		if rnd.Float64() < w.LongShare {
 			tokens = w.LongTokens
 		}
-		out = append(out, arrival{at: at, account: w.account(rnd), prompt: w.prompt(rnd, len(out)), tokens: tokens})
+		out = append(out, arrival{at: at, account: w.account(rnd), prompt: w.prompt(rnd, len(out)), tokens: tokens, chat: rnd.Float64() < w.ChatShare})
 	}
 }
 
@@ -70,6 +101,6 @@
 	for range w.PromptWords {
 		fmt.Fprintf(&b, "word%d ", rnd.IntN(1000))
 	}
-	fmt.Fprintf(&b, "request %d", n)
+	fmt.Fprintf(&b, "request %s%d", w.Label, n)
 	return b.String()
 }
--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/sse"
@@ -37,13 +38,18 @@
 	HoldText bool
 	// OnToken is called after each token; a slow one makes a slow reader.
 	OnToken func(i int, text string)
+	// ReceiveBuffer bounds what the kernel holds for the client, in bytes, so
+	// that a slow reader soon stalls its daemon; 0 leaves it to the system.
+	ReceiveBuffer int
 }
 
 // Request is one generation.
 type Request struct {
-	Model          string
-	Prompt         string
-	MaxTokens      int
+	Model     string
+	Prompt    string
+	MaxTokens int
+	// Chat sends the prompt as one user message to the chat route.
+	Chat           bool
 	IdempotencyKey string
 	Timeout        time.Duration // sent as X-Request-Timeout-Ms; 0 sends none
 }
@@ -56,6 +62,8 @@
 	RequestID string
 	// FirstToken is the time from sending the request to the first token.
 	FirstToken time.Duration
+	// Sent is when the request was sent first.
+	Sent time.Time
 	// Gaps are the times between tokens.
 	Gaps []time.Duration
 	// Reconnects counts connections after the first.
@@ -94,11 +102,29 @@
 		o.MaxReconnects = 10
 	}
 	return &Client{o: o, transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dialer(o.ReceiveBuffer).DialContext,
 		MaxIdleConnsPerHost: 64,
 	}}
 }
 
+func dialer(receiveBuffer int) *net.Dialer {
+	d := &net.Dialer{Timeout: time.Second}
+	if receiveBuffer > 0 {
+		// The buffer must be set before the connection is made, because the
+		// window is negotiated then.
+		d.Control = func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			if err := c.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			}); err != nil {
+				return err
+			}
+			return failed
+		}
+	}
+	return d
+}
+
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
@@ -110,6 +136,7 @@
 // received so far together with an error, a *Refusal if a daemon refused.
 func (c *Client) Complete(ctx context.Context, r Request) (*Answer, error) {
 	s := &session{c: c, request: r, answer: &Answer{}, sent: time.Now()}
+	s.answer.Sent = s.sent
 	for try := 0; ; try++ {
 		addr := c.o.Addresses[try%len(c.o.Addresses)]
 		err := s.connect(ctx, addr)
@@ -141,6 +168,8 @@
 	sent    time.Time
 	last    time.Time // arrival of the last token
 	broken  time.Time // when the connection broke, zero while it works
+	// watchdog ends a silent connection. It rests during OnToken.
+	watchdog *time.Timer
 }
 
 // retries reports whether the request may be sent again after err. A daemon
@@ -187,6 +216,7 @@
 	defer cancel()
 	watchdog := time.AfterFunc(s.c.o.Silence, cancel)
 	defer watchdog.Stop()
+	s.watchdog = watchdog
 	req, err := s.newRequest(ctx, addr)
 	if err != nil {
 		return err
@@ -216,9 +246,13 @@
 }
 
 func (s *session) newRequest(ctx context.Context, addr string) (*http.Request, error) {
-	body := map[string]any{
-		"model": s.request.Model, "prompt": s.request.Prompt,
-		"max_tokens": s.request.MaxTokens, "stream": true,
+	body := map[string]any{"model": s.request.Model, "max_tokens": s.request.MaxTokens, "stream": true}
+	path := "/v1/completions"
+	if s.request.Chat {
+		path = "/v1/chat/completions"
+		body["messages"] = Messages(s.request.Prompt)
+	} else {
+		body["prompt"] = s.request.Prompt
 	}
 	if s.cursor != "" && s.c.o.HoldText {
 		body["delivered_text"] = s.text.String()
@@ -227,7 +261,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(b))
 	if err != nil {
 		return nil, err
 	}
@@ -245,9 +279,21 @@
 	return req, nil
 }
 
+// Message is one message of a chat request.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Messages returns the messages that a chat request sends for a prompt.
+func Messages(prompt string) []Message { return []Message{{Role: "user", Content: prompt}} }
+
 type chunk struct {
 	Choices []struct {
-		Text         string  `json:"text"`
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
 	Error *refusalBody `json:"error"`
@@ -286,8 +332,8 @@
 	if c.Choices[0].FinishReason != nil {
 		s.answer.Finish = *c.Choices[0].FinishReason
 	}
-	if c.Choices[0].Text != "" {
-		s.token(c.Choices[0].Text)
+	if text := c.Choices[0].Text + c.Choices[0].Delta.Content; text != "" {
+		s.token(text)
 	}
 	return false, nil
 }
@@ -307,7 +353,9 @@
 	s.last = now
 	s.text.WriteString(text)
 	if s.c.o.OnToken != nil {
+		s.watchdog.Stop()
 		s.c.o.OnToken(s.tokens, text)
+		s.watchdog.Reset(s.c.o.Silence)
 	}
 	s.tokens++
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,12 @@
 	// Plain starts one plain service with this many replicas.
 	Plain  int
 	Logger *slog.Logger
+	// NextEngines starts this many more engines of version v2 that the first
+	// document names; they get no work until a move begins.
+	NextEngines int
+	// NoResume says in the document that engines do not resume, so that every
+	// loss needs a continuation. Experiments compare with it.
+	NoResume bool
 	// DrainNotice and DrainDeadline are settings of the daemons.
 	DrainNotice, DrainDeadline time.Duration
 }
@@ -86,6 +93,11 @@
 			return err
 		}
 	}
+	for range f.o.NextEngines {
+		if _, err := f.AddEngine(ctx, "v2"); err != nil {
+			return err
+		}
+	}
 	for range f.o.Plain {
 		s, err := standin.StartService(ctx, standin.ServiceOptions{})
 		if err != nil {
@@ -187,7 +199,7 @@
 // Document returns the document of the model service with all engines.
 func (f *Fleet) Document(v Versions) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[service]\nname = %s\nteam = %s\nkind = model\nmodel = %s\nresumes = true\npriorities = true\n", Service, Team, Model)
+	fmt.Fprintf(&b, "[service]\nname = %s\nteam = %s\nkind = model\nmodel = %s\nresumes = %t\npriorities = true\n", Service, Team, Model, !f.o.NoResume)
 	f.versions(&b, v)
 	for _, e := range f.Engines {
 		fmt.Fprintf(&b, "[upstream.%s]\naddress = %s\ndatacentre = %s\nregion = %s\nversion = %s\n", e.Name, e.Address(), e.DataCentre, Region, e.Version)
@@ -285,6 +297,44 @@
 	return d
 }
 
+// Metric returns the value of a metric of a daemon, as its operator API
+// exports it, and false if it has none.
+func (f *Fleet) Metric(ctx context.Context, d *daemon.Daemon, name string) (float64, bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.OperatorAddress()+"/metrics", http.NoBody)
+	if err != nil {
+		return 0, false
+	}
+	res, err := f.http.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, false
+	}
+	for line := range strings.Lines(string(b)) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			v, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			return v, err == nil
+		}
+	}
+	return 0, false
+}
+
+// ControlBytes returns the bytes that all live daemons have received and sent
+// on peer links.
+func (f *Fleet) ControlBytes(ctx context.Context) float64 {
+	var sum float64
+	for _, d := range f.Live() {
+		for _, direction := range []string{"in", "out"} {
+			v, _ := f.Metric(ctx, d, fmt.Sprintf("gooseberryroad_peer_bytes_total{direction=%q}", direction))
+			sum += v
+		}
+	}
+	return sum
+}
+
 // KillDaemon ends a daemon as the loss of its VM does.
 func (f *Fleet) KillDaemon(i int) {
 	if d := f.Remove(i); d != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -190,6 +190,8 @@
 	id       string
 	text     Text
 	version  string
+	route    string
+	asked    string   // the whole prompt
 	words    []string // prompt and prefix, for the cache
 	prompt   int      // number of prompt words
 	start    int      // index of the first token it makes
@@ -338,6 +340,21 @@
 	return s
 }
 
+// HeldPrompts returns the prompts of the requests that wait or run now, so that
+// an experiment knows which requests a fault hits.
+func (e *Engine) HeldPrompts() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]string, 0, len(e.waiting)+len(e.running))
+	for _, g := range e.waiting {
+		out = append(out, g.asked)
+	}
+	for _, g := range e.running {
+		out = append(out, g.asked)
+	}
+	return out
+}
+
 // held returns the memory of waiting and running requests in bytes.
 func (e *Engine) held() int64 {
 	tokens := 0
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -33,8 +33,17 @@
 	AboveLoad int `json:"above_load,omitempty"`
 	// Tokens is the length of broken and truncated answers; 3 by default.
 	Tokens int `json:"tokens,omitempty"`
+	// Route limits the fault to requests of one route, RouteChat or
+	// RouteCompletions. BadSlow slows the whole batch and ignores it.
+	Route string `json:"route,omitempty"`
 }
 
+// Routes of requests, told apart by whether they bring messages or a prompt.
+const (
+	RouteChat        = "chat"
+	RouteCompletions = "completions"
+)
+
 // Faults of load reports.
 const (
 	LoadStale = "stale" // the last report stays
@@ -134,6 +143,13 @@
 	return max(0, n-sent), n > 0
 }
 
+// badOn returns the fault of a version if its triggers hold and it concerns
+// requests of the route.
+func (e *Engine) badOn(version, route string) (BadVersion, bool) {
+	b, ok := e.bad(version)
+	return b, ok && (b.Route == "" || b.Route == route)
+}
+
 // bad returns the fault of the running version if its triggers hold.
 func (e *Engine) bad(version string) (BadVersion, bool) {
 	b, ok := e.faults.BadVersions[version]
@@ -161,7 +177,7 @@
 
 // damage ends a running generation early if its version is bad that way.
 func (e *Engine) damage(g *generation, now time.Time) {
-	b, ok := e.bad(g.version)
+	b, ok := e.badOn(g.version, g.route)
 	if !ok || g.n-g.start < b.Tokens {
 		return
 	}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -83,9 +83,9 @@
 		return nil, &refusal{status, retry, code, "not_run", message}
 	}
 	now := time.Now()
-	prompt := q.Prompt
+	prompt, route := q.Prompt, RouteCompletions
 	if len(q.Messages) > 0 {
-		prompt = PromptOf(q.Messages)
+		prompt, route = PromptOf(q.Messages), RouteChat
 	}
 	if q.MaxTokens == 0 {
 		q.MaxTokens = e.o.DefaultMaxTokens
@@ -122,7 +122,7 @@
 	e.stats.RequestsByVersion[e.version]++
 	e.accepted[e.version]++
 	g := &generation{
-		id: id, text: text, version: e.version, words: PromptWords(prompt),
+		id: id, text: text, version: e.version, route: route, asked: prompt, words: PromptWords(prompt),
 		start: q.ContinueTokens, n: q.ContinueTokens, max: q.MaxTokens, stop: -1,
 		priority: q.Priority, poison: e.poisoned(prompt), changed: make(chan struct{}),
 	}
@@ -135,7 +135,7 @@
 		}
 	}
 	g.words = append(g.words, PromptWords(q.Prefix)...)
-	if b, ok := e.bad(e.version); ok {
+	if b, ok := e.badOn(e.version, route); ok {
 		switch b.Mode {
 		case BadFails:
 			e.stats.Failed++
