bench: run daemons as processes, measure capacity, cut a data centre off the store

Purpose: figures of the daemons alone (processor time for each token, memory for each stream, cost of control by size) cannot be told from those of stand-ins and callers that share the process.

Ruled out: cutting peer links in the scenario partition, because a daemon announces the address that it listens on and has no option for another.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -33,6 +33,9 @@
 	Without string
 	// Baseline "direct" sends the same load once more straight to the engines.
 	Baseline string
+	// Processes runs the daemons of a scenario without faults as processes, and
+	// measures what they use.
+	Processes bool
 }
 
 // Scenario is one experiment.
@@ -91,6 +94,7 @@
 	hits                        map[string][]time.Time
 	lostDaemons                 []daemonLoss
 	watch                       watch
+	procs                       *processes // nil when daemons share this process
 	extra                       map[string]float64
 }
 
@@ -113,12 +117,27 @@
 	}
 	s = r.s
 	r.report = Report{Scenario: s.Name, Seed: o.Seed, Without: o.Without, DurationSeconds: o.Duration.Seconds()}
+	if o.Processes && (s.Faults != nil || s.Background != nil || s.Finish != nil || s.Fleet.Plain > 0) {
+		return nil, eris.Errorf("scenario %q needs its daemons in this process", s.Name)
+	}
+	if o.Processes {
+		s.Fleet.Daemons = 0
+	}
 	f, err := fleet.Start(ctx, s.Fleet)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
 	r.f = f
+	if o.Processes {
+		if r.procs, err = startProcesses(ctx, f, r.s.Fleet.Daemons); err != nil {
+			return nil, err
+		}
+		defer r.procs.close()
+		if _, err := r.procs.apply(ctx, f, fleet.Service, f.Document(fleet.Versions{Serving: "v1"})); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.execute(ctx); err != nil {
 		return nil, err
 	}
@@ -141,6 +160,10 @@
 	}
 	before := r.counters()
 	control := r.controlBytes(ctx)
+	used, err := r.routerUsage(ctx)
+	if err != nil {
+		return err
+	}
 	cpu := processorTime()
 	r.began = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, max(runLimit, r.o.Duration+10*time.Second))
@@ -186,6 +209,9 @@
 	r.summarise(before, processorTime()-cpu)
 	r.summariseControl(ctx, control, before.storeCalls, elapsed)
 	r.summariseWatch()
+	if err := r.summariseRouter(ctx, used); err != nil {
+		return err
+	}
 	if r.o.Baseline == baselineDirect {
 		return r.runDirect(ctx, load)
 	}
@@ -272,9 +298,9 @@
 func (r *run) client(ctx context.Context, a arrival) *client.Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first := r.rnd.IntN(len(r.f.Live()))
+	addresses := r.callers()
 	o := client.Options{
-		Addresses: r.f.Callers(first),
+		Addresses: addresses,
 		Key:       fleet.AccountKey(a.account),
 		HoldText:  r.o.Without != withoutText,
 	}
@@ -291,6 +317,14 @@
 	return c
 }
 
+// callers returns the daemons' addresses, beginning with any.
+func (r *run) callers() []string {
+	if r.procs != nil {
+		return r.procs.callers(r.rnd.IntN(len(r.procs.all)))
+	}
+	return r.f.Callers(r.rnd.IntN(len(r.f.Live())))
+}
+
 func (r *run) closeClients() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"time"
 
@@ -125,3 +126,31 @@
 		Expect(r.s.Fleet.NoResume).To(BeTrue())
 	})
 })
+
+var _ = ginkgo.Describe("the capacity measurement", func() {
+	// Guards against processor time or memory read from the wrong field, also
+	// for programs with spaces in their names.
+	ginkgo.It("reads processor time and memory of a process", func() {
+		cpu, rss, err := parseStat("12 (a b) c) S 1 12 12 0 -1 4194304 100 0 0 0 150 50 0 0 20 0 8 0 99 1000 25 184467")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(cpu).To(Equal(2 * time.Second))
+		Expect(rss).To(Equal(25 * float64(os.Getpagesize())))
+		_, _, err = parseStat("12 (a) S 1")
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against figures of another metric whose name begins alike.
+	ginkgo.It("adds up a metric over its labels", func() {
+		body := "m_total{d=\"in\"} 3\nm_total{d=\"out\"} 4\nm_total_other 100\n"
+		Expect(metricSum(body, "m_total")).To(Equal(7.0))
+	})
+
+	// Guards against extrapolation from a wrong slope.
+	ginkgo.It("fits a line", func() {
+		slope, at := leastSquares([]float64{3, 9, 18, 30}, []float64{7, 19, 37, 61})
+		Expect(slope).To(BeNumerically("~", 2, 1e-9))
+		Expect(at).To(BeNumerically("~", 1, 1e-9))
+		slope, at = leastSquares([]float64{9, 9}, []float64{1, 2})
+		Expect([]float64{slope, at}).To(Equal([]float64{0, 0}))
+	})
+})
--- /dev/null
+++ b/bench/processes.go
@@ -0,0 +1,297 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/document"
+	"github.com/gooseberryroad/gooseberryroad/fleet"
+)
+
+// clockTicks is the unit of processor time in /proc/PID/stat, a hundredth of a
+// second on Linux.
+const clockTicks = 100
+
+// process is a daemon in a process of its own, so that its processor time and
+// memory can be told from those of stand-ins and callers.
+type process struct {
+	cmd      *exec.Cmd
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+	Peer     string `json:"peer"`
+}
+
+// processes are the daemons of one experiment.
+type processes struct {
+	dir  string
+	all  []*process
+	http *http.Client
+}
+
+// startProcesses starts daemons of this binary against a fleet's stand-ins.
+func startProcesses(ctx context.Context, f *fleet.Fleet, n int) (*processes, error) {
+	dir, err := os.MkdirTemp("", "bench")
+	if err != nil {
+		return nil, eris.Wrap(err, "make a directory for settings")
+	}
+	p := &processes{dir: dir, http: &http.Client{Timeout: 5 * time.Second}}
+	for i := range n {
+		if err := p.start(ctx, f, i); err != nil {
+			p.close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *processes) start(ctx context.Context, f *fleet.Fleet, n int) error {
+	var seeds []string
+	for _, d := range p.all[:min(len(p.all), 5)] {
+		seeds = append(seeds, d.Peer)
+	}
+	path := filepath.Join(p.dir, fmt.Sprintf("d%02d.ini", n))
+	if err := os.WriteFile(path, []byte(f.Settings(n, seeds)), 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "find this binary")
+	}
+	cmd := exec.CommandContext(ctx, self, "serve", "--config", path)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return eris.Wrap(err, "start a daemon")
+	}
+	if err := cmd.Start(); err != nil {
+		return eris.Wrap(err, "start a daemon")
+	}
+	d := &process{cmd: cmd}
+	p.all = append(p.all, d)
+	line, err := bufio.NewReader(out).ReadBytes('\n')
+	if err != nil {
+		return eris.Wrap(err, "read the addresses of a daemon")
+	}
+	return eris.Wrap(json.Unmarshal(line, d), "read the addresses of a daemon")
+}
+
+func (p *processes) close() {
+	for _, d := range p.all {
+		_ = d.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	for _, d := range p.all {
+		_ = d.cmd.Wait()
+	}
+	p.http.CloseIdleConnections()
+	_ = os.RemoveAll(p.dir)
+}
+
+func (p *processes) callers(first int) []string {
+	out := make([]string, len(p.all))
+	for i := range p.all {
+		out[i] = p.all[(first+i)%len(p.all)].Caller
+	}
+	return out
+}
+
+// usage is what the daemons have used, the mean of all.
+type usage struct {
+	at time.Time
+	// processor is processor time since the start, resident memory in bytes.
+	processor time.Duration
+	resident  float64
+	// control is bytes in and out of peer links since the start.
+	control float64
+}
+
+func (p *processes) usage(ctx context.Context) (usage, error) {
+	u := usage{at: time.Now()}
+	for _, d := range p.all {
+		cpu, rss, err := readProcess(d.cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		u.processor += cpu
+		u.resident += rss
+		_, body, err := p.get(ctx, d, "/metrics")
+		if err != nil {
+			return u, err
+		}
+		u.control += metricSum(body, "gooseberryroad_peer_bytes_total")
+	}
+	n := len(p.all)
+	u.processor /= time.Duration(n)
+	u.resident /= float64(n)
+	u.control /= float64(n)
+	return u, nil
+}
+
+// routerUsage is what the daemons have used, nothing when they share this
+// process.
+func (r *run) routerUsage(ctx context.Context) (usage, error) {
+	if r.procs == nil {
+		return usage{}, nil
+	}
+	return r.procs.usage(ctx)
+}
+
+// summariseRouter adds what the daemons used for the load, and the growth of
+// their memory at the peak for each stream that ran then.
+func (r *run) summariseRouter(ctx context.Context, before usage) error {
+	if r.procs == nil {
+		return nil
+	}
+	after, err := r.procs.usage(ctx)
+	if err != nil {
+		return err
+	}
+	n := float64(len(r.procs.all))
+	if t := r.report.TokensDelivered; t > 0 {
+		r.extra["router_cpu_us_per_token"] = n * float64((after.processor - before.processor).Microseconds()) / float64(t)
+	}
+	r.report.ControlBytesPerSecond = (after.control - before.control) / after.at.Sub(before.at).Seconds()
+	if streams := r.watch.peakStreams; streams > 0 && r.watch.peakResident > before.resident {
+		r.extra["router_bytes_per_stream"] = n * (r.watch.peakResident - before.resident) / float64(streams)
+		r.extra["router_streams_max"] = float64(streams)
+	}
+	return nil
+}
+
+// metricSum adds up the values of a metric over its labels.
+func metricSum(body, name string) float64 {
+	var sum float64
+	for line := range strings.Lines(body) {
+		rest, ok := strings.CutPrefix(line, name)
+		if !ok || rest == "" || rest[0] != '{' && rest[0] != ' ' {
+			continue
+		}
+		fields := strings.Fields(line)
+		if v, err := strconv.ParseFloat(fields[len(fields)-1], 64); err == nil {
+			sum += v
+		}
+	}
+	return sum
+}
+
+// readProcess returns the processor time and resident memory of a process.
+func readProcess(pid int) (time.Duration, float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "read the state of a daemon")
+	}
+	return parseStat(string(b))
+}
+
+// parseStat reads the fields utime, stime and rss of /proc/PID/stat. The name
+// of the program may contain spaces and ends with the last parenthesis.
+func parseStat(s string) (time.Duration, float64, error) {
+	fields := strings.Fields(s[strings.LastIndexByte(s, ')')+1:])
+	const utime, stime, rss = 11, 12, 21 // without the PID and the name
+	if len(fields) <= rss {
+		return 0, 0, eris.New("the state of a process has too few fields")
+	}
+	var v [3]float64
+	for i, f := range []int{utime, stime, rss} {
+		x, err := strconv.ParseFloat(fields[f], 64)
+		if err != nil {
+			return 0, 0, eris.Wrap(err, "read the state of a daemon")
+		}
+		v[i] = x
+	}
+	return time.Duration((v[0] + v[1]) * float64(time.Second) / clockTicks), v[2] * float64(os.Getpagesize()), nil
+}
+
+func (p *processes) get(ctx context.Context, d *process, path string) (int, string, error) {
+	return p.do(ctx, http.MethodGet, d, path, "", nil)
+}
+
+func (p *processes) do(ctx context.Context, method string, d *process, path, body string, header map[string]string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.Operator+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.TeamKey)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := p.http.Do(req)
+	if err != nil {
+		return 0, "", eris.Wrap(err, "call a daemon")
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+// apply changes a document and returns how long it took until all daemons had
+// it in force.
+func (p *processes) apply(ctx context.Context, f *fleet.Fleet, name, text string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	_, current := f.Store.Value("config/" + name)
+	began := time.Now()
+	status, body, err := p.do(ctx, http.MethodPut, p.all[0], "/v1/services/"+name, text, map[string]string{"If-Match": fmt.Sprint(current)})
+	if err != nil {
+		return 0, err
+	}
+	if status/100 != 2 {
+		return 0, eris.Errorf("apply %s: status %d: %s", name, status, body)
+	}
+	_, revision := f.Store.Value("config/" + name)
+	var failed error
+	err = f.WaitFor(ctx, func() bool {
+		for _, d := range p.all {
+			status, body, err := p.get(ctx, d, "/v1/services")
+			if err != nil {
+				failed = err
+				return false
+			}
+			if status != http.StatusOK || !listed(body, name, revision) {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil && failed != nil {
+		err = failed
+	}
+	return time.Since(began), err
+}
+
+// listed reports whether a list of services has one at a revision or later.
+func listed(body, name string, revision uint64) bool {
+	var list struct {
+		Services []struct {
+			Name     string `json:"name"`
+			Revision uint64 `json:"revision"`
+		} `json:"services"`
+	}
+	if json.Unmarshal([]byte(body), &list) != nil {
+		return false
+	}
+	for _, s := range list.Services {
+		if s.Name == name {
+			return s.Revision >= revision
+		}
+	}
+	return false
+}
+
+// smallDocument is a service without upstreams that changes cheaply.
+func smallDocument(name string, n int) string {
+	return fmt.Sprintf("[service]\nname = %s\nteam = %s\nkind = model\nmodel = small-%d\n[versions]\nserving = v1\n[upstream.u]\naddress = 127.0.0.1:1\ndatacentre = dc0\nregion = %s\nversion = v1\n[account.a]\nkey_sha256 = %s\n",
+		name, fleet.Team, n, fleet.Region, document.HashKey(fmt.Sprintf("key-%s-%d", name, n)))
+}
--- a/bench/traffic.go
+++ b/bench/traffic.go
@@ -58,6 +58,32 @@
 			},
 			Background: poison,
 		},
+		{
+			Name: "partition", Help: "The daemons of one data centre are cut off from the store for the middle third, while a document changes. Peer links stay.",
+			Duration: 18 * time.Second,
+			Fleet:    fleet.Options{Daemons: 6, Engines: 25, DataCentres: 3, Accounts: 10, Plain: 4, ForwardStore: true},
+			Workload: standardLoad, Faults: partition, Background: registrations,
+		},
+	}
+}
+
+// partition cuts the first data centre off from the store. Peer links stay,
+// because a daemon announces the address that it listens on, so that no
+// forwarder can be put between.
+func partition(r *run, d time.Duration) []fault {
+	link := r.f.StoreLinks["dc0"]
+	return []fault{
+		{at: d / 3, name: "dc0 is cut off from the store", do: func(context.Context) error { link.Cut(); return nil }},
+		{at: d/3 + 2*time.Second, name: "a document changes", do: func(ctx context.Context) error {
+			began := time.Now()
+			// The second daemon is in another data centre and reaches the store.
+			err := r.f.ApplyAt(ctx, r.f.Live()[1], fleet.Service, r.f.Document(fleet.Versions{Serving: "v1", Warm: time.Minute}))
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.extra["change_in_force_s"] = time.Since(began).Seconds()
+			return err
+		}},
+		{at: 2 * d / 3, name: "dc0 reaches the store again", do: func(context.Context) error { link.Heal(); return nil }},
 	}
 }
 
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 
@@ -54,7 +53,11 @@
 	largestHeld int64
 	// daemonHeld is the most that one daemon held at a time.
 	daemonHeld int64
-	move       *moveState
+	// peakResident is the largest mean resident memory of daemons that are
+	// processes, peakStreams the most requests that engines held at a time.
+	peakResident float64
+	peakStreams  int
+	move         *moveState
 }
 
 // startWatch samples the fleet until the returned function is called.
@@ -116,14 +119,19 @@
 			alarm = now
 		}
 	}
+	streams := 0
 	for _, e := range r.f.Engines {
-		s.TokensAgain += e.Stats().PrefilledAgain
+		st := e.Stats()
+		s.TokensAgain += st.PrefilledAgain
+		streams += st.Running + st.Waiting
 	}
+	resident := r.resident()
 	r.watch.mu.Lock()
 	defer r.watch.mu.Unlock()
 	w := &r.watch
 	w.samples = append(w.samples, s)
 	w.largestHeld, w.daemonHeld = max(w.largestHeld, largest), max(w.daemonHeld, most)
+	w.peakResident, w.peakStreams = max(w.peakResident, resident), max(w.peakStreams, streams)
 	m := w.move
 	if m == nil {
 		return
@@ -141,6 +149,20 @@
 	}
 }
 
+// resident is the mean resident memory of daemons that are processes.
+func (r *run) resident() float64 {
+	if r.procs == nil {
+		return 0
+	}
+	var sum float64
+	for _, d := range r.procs.all {
+		if _, rss, err := readProcess(d.cmd.Process.Pid); err == nil {
+			sum += rss
+		}
+	}
+	return sum / float64(len(r.procs.all))
+}
+
 // summariseWatch adds what the watch saw to the report.
 func (r *run) summariseWatch() {
 	r.watch.mu.Lock()
@@ -152,18 +174,15 @@
 		r.extra["small_accounts_first_token_ms_p95"] = q.P95
 		r.extra["small_accounts_first_token_ms_max"] = q.Max
 	}
-	r.extra["slow_reader_bytes_max"] = float64(w.largestHeld)
-	r.extra["daemon_held_bytes_max"] = float64(w.daemonHeld)
+	if r.procs == nil {
+		r.extra["slow_reader_bytes_max"] = float64(w.largestHeld)
+		r.extra["daemon_held_bytes_max"] = float64(w.daemonHeld)
+	}
 	if m := w.move; m != nil {
 		r.summariseMove(m)
 	}
 	r.report.Extra = r.extra
-	var load float64
-	if b, err := os.ReadFile("/proc/loadavg"); err == nil {
-		if _, err := fmt.Sscan(string(b), &load); err == nil {
-			r.report.LoadAverage = load
-		}
-	}
+	r.report.LoadAverage = loadAverage()
 }
 
 func (r *run) summariseMove(m *moveState) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,9 @@
 	// NextEngines starts this many more engines of version v2 that the first
 	// document names; they get no work until a move begins.
 	NextEngines int
+	// ForwardStore puts a Forwarder between the store and the daemons of each
+	// data centre.
+	ForwardStore bool
 	// NoResume says in the document that engines do not resume, so that every
 	// loss needs a continuation. Experiments compare with it.
 	NoResume bool
@@ -61,7 +64,10 @@
 	Store   *standin.Store
 	Engines []*Engine
 	Plain   []*standin.Service
-	http    *http.Client
+	// StoreLinks are the forwarders to the store by data centre; see
+	// Options.ForwardStore.
+	StoreLinks map[string]*Forwarder
+	http       *http.Client
 
 	mu      sync.Mutex
 	daemons []*daemon.Daemon // nil where one was killed
@@ -74,7 +80,7 @@
 }
 
 // Start starts everything, applies the documents and waits until every daemon
-// serves them.
+// serves them. Without daemons it starts the stand-ins only.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{o: o, http: &http.Client{Timeout: 10 * time.Second}}
 	if err := f.start(ctx); err != nil {
@@ -88,6 +94,14 @@
 	if f.Store, err = standin.StartStore(ctx, standin.StoreOptions{}); err != nil {
 		return eris.Wrap(err, "start the store")
 	}
+	if f.o.ForwardStore {
+		f.StoreLinks = map[string]*Forwarder{}
+		for n := range max(f.o.DataCentres, 1) {
+			if f.StoreLinks[f.dataCentre(n)], err = NewForwarder(f.Store.Address()); err != nil {
+				return err
+			}
+		}
+	}
 	for range f.o.Engines {
 		if _, err := f.AddEngine(ctx, "v1"); err != nil {
 			return err
@@ -110,6 +124,9 @@
 			return err
 		}
 	}
+	if f.o.Daemons == 0 {
+		return nil
+	}
 	if err := f.Apply(ctx, Service, f.Document(Versions{Serving: "v1"})); err != nil {
 		return err
 	}
@@ -138,17 +155,9 @@
 
 func (f *Fleet) dataCentre(n int) string { return fmt.Sprintf("dc%d", n%max(f.o.DataCentres, 1)) }
 
-// AddDaemon starts one more daemon.
-func (f *Fleet) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
-	f.mu.Lock()
-	n := len(f.daemons)
-	f.daemons = append(f.daemons, nil)
-	f.mu.Unlock()
-	var seeds []string
-	for _, d := range f.Live() {
-		seeds = append(seeds, d.PeerAddress())
-	}
-	text := fmt.Sprintf(`
+// Settings returns the settings of the daemon with number n.
+func (f *Fleet) Settings(n int, seeds []string) string {
+	return fmt.Sprintf(`
 [daemon]
 name = d%02d
 datacentre = %s
@@ -168,7 +177,27 @@
 deadline = %s
 [team.%s]
 key_sha256 = %s
-`, n, f.dataCentre(n), Region, f.Store.Address(), strings.Join(seeds, ","), f.o.DrainNotice, f.o.DrainDeadline, Team, document.HashKey(TeamKey))
+`, n, f.dataCentre(n), Region, f.storeAddress(f.dataCentre(n)), strings.Join(seeds, ","), f.o.DrainNotice, f.o.DrainDeadline, Team, document.HashKey(TeamKey))
+}
+
+func (f *Fleet) storeAddress(dataCentre string) string {
+	if l := f.StoreLinks[dataCentre]; l != nil {
+		return l.Address()
+	}
+	return f.Store.Address()
+}
+
+// AddDaemon starts one more daemon.
+func (f *Fleet) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
+	f.mu.Lock()
+	n := len(f.daemons)
+	f.daemons = append(f.daemons, nil)
+	f.mu.Unlock()
+	var seeds []string
+	for _, d := range f.Live() {
+		seeds = append(seeds, d.PeerAddress())
+	}
+	text := f.Settings(n, seeds)
 	s, problems := settings.Parse("fleet", []byte(text))
 	if len(problems) > 0 {
 		return nil, problems
@@ -243,8 +272,14 @@
 	if len(daemons) == 0 {
 		return eris.New("no daemon is alive")
 	}
+	return f.ApplyAt(ctx, daemons[0], service, text)
+}
+
+// ApplyAt is Apply through the given daemon.
+func (f *Fleet) ApplyAt(ctx context.Context, at *daemon.Daemon, service, text string) error {
+	daemons := f.Live()
 	_, current := f.Store.Value("config/" + service)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+daemons[0].OperatorAddress()+"/v1/services/"+service, bytes.NewReader([]byte(text)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+at.OperatorAddress()+"/v1/services/"+service, bytes.NewReader([]byte(text)))
 	if err != nil {
 		return err
 	}
@@ -381,6 +416,11 @@
 	for _, s := range f.Plain {
 		s.Close()
 	}
+	for _, l := range f.StoreLinks {
+		if l != nil {
+			l.Close()
+		}
+	}
 	if f.Store != nil {
 		f.Store.Close()
 	}
--- /dev/null
+++ b/fleet/forwarder.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Forwarder passes TCP connections on to one address until it is cut. It
+// stands for the network between a data centre and the platform.
+type Forwarder struct {
+	ln net.Listener
+	to string
+
+	mu    sync.Mutex
+	cut   bool
+	ended bool
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// NewForwarder listens on loopback and forwards to an address.
+func NewForwarder(to string) (*Forwarder, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	f := &Forwarder{ln: ln, to: to, conns: map[net.Conn]struct{}{}}
+	f.wg.Go(f.accept)
+	return f, nil
+}
+
+// Address is the HOST:PORT to connect to.
+func (f *Forwarder) Address() string { return f.ln.Addr().String() }
+
+// Cut ends the transport of bytes. Connections stay open and new ones are
+// accepted, as nobody tells the two sides of a broken network path.
+func (f *Forwarder) Cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = true
+}
+
+// Heal lets new connections through. Those that were open during the cut are
+// closed, because bytes were lost on them.
+func (f *Forwarder) Heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = false
+	for c := range f.conns {
+		_ = c.Close()
+	}
+}
+
+// Close ends the forwarder and its connections.
+func (f *Forwarder) Close() {
+	_ = f.ln.Close()
+	f.mu.Lock()
+	f.ended = true
+	for c := range f.conns {
+		_ = c.Close()
+	}
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
+func (f *Forwarder) accept() {
+	for {
+		in, err := f.ln.Accept()
+		if err != nil {
+			return
+		}
+		f.wg.Go(func() { f.forward(in) })
+	}
+}
+
+func (f *Forwarder) forward(in net.Conn) {
+	if !f.track(in) {
+		return
+	}
+	defer f.untrack(in)
+	out, err := net.Dial("tcp", f.to)
+	if err != nil {
+		return
+	}
+	if !f.track(out) {
+		return
+	}
+	defer f.untrack(out)
+	done := make(chan struct{}, 2)
+	for _, d := range [][2]net.Conn{{in, out}, {out, in}} {
+		f.wg.Go(func() {
+			defer func() { done <- struct{}{} }()
+			_, _ = io.Copy(&gate{f: f, Conn: d[1]}, d[0])
+		})
+	}
+	<-done
+}
+
+// gate drops what is written while the forwarder is cut.
+type gate struct {
+	net.Conn
+	f *Forwarder
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	g.f.mu.Lock()
+	cut := g.f.cut
+	g.f.mu.Unlock()
+	if cut {
+		return len(p), nil
+	}
+	return g.Conn.Write(p)
+}
+
+// track notes an open connection; it closes it if the forwarder has ended.
+func (f *Forwarder) track(c net.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		_ = c.Close()
+		return false
+	}
+	f.conns[c] = struct{}{}
+	return true
+}
+
+func (f *Forwarder) untrack(c net.Conn) {
+	_ = c.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+}
