--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -153,4 +153,22 @@
 		slope, at = leastSquares([]float64{9, 9}, []float64{1, 2})
 		Expect([]float64{slope, at}).To(Equal([]float64{0, 0}))
 	})
+
+	// Guards against figures of an empty state: documents or members that the
+	// node refuses cost nothing.
+	ginkgo.It("drives a node that has the target sizes in force", func() {
+		d := newNodeDriver(1)
+		for range 2 {
+			d.second()
+		}
+		snap := d.n.Snapshot()
+		Expect(snap.Members).To(HaveLen(targetDaemons))
+		upstreams := 0
+		for _, v := range snap.Services {
+			upstreams += len(v.Upstreams)
+			Expect(v.Doc.Accounts).To(HaveLen(targetAccounts))
+		}
+		Expect(upstreams).To(Equal(targetReplicas))
+		Expect(d.reports).To(BeNumerically(">", 0))
+	})
 })
--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -70,11 +70,14 @@
 	Processors int             `json:"processors"`
 	Points     []CapacityPoint `json:"points"`
 	Slopes     []Slope         `json:"slopes"`
+	Node       NodeSize        `json:"node_at_target"`
 }
 
 // RunCapacity measures the costs of control. Each daemon is a process.
 func RunCapacity(ctx context.Context, o Options) (*Capacity, error) {
 	c := &Capacity{Scenario: CapacityScenario, Seed: o.Seed, Processors: runtime.GOMAXPROCS(0)}
+	// First, so that the heap holds nothing else.
+	c.Node = MeasureNode(o.Seed)
 	for _, size := range capacitySizes {
 		p, err := measureCapacity(ctx, size.daemons, size.replicas)
 		if err != nil {
@@ -258,5 +261,8 @@
 			return err
 		}
 	}
-	return nil
+	n := c.Node
+	_, err := fmt.Fprintf(w, "package node at %d daemons, %d replicas, %d accounts: heap %.1f MB, documents %.1f MB, %.1f us a Step (max %.1f ms), %.2f%% of a core, %.1f ms for a changed document, %d members alive, %d links, %.0f B/s in and %.0f B/s out\n",
+		n.Daemons, n.Replicas, n.Accounts, float64(n.HeapBytes)/1e6, float64(n.StoredBytes)/1e6, n.StepMeanUS, n.StepMaxMS, 100*n.CPUShare, n.ChangeMS, n.Members, n.Links, n.MessageBytesIn, n.MessageBytesOut)
+	return err
 }
--- a/bench/traffic.go
+++ b/bench/traffic.go
@@ -125,7 +125,7 @@
 		}
 		wg.Go(func() {
 			g := registration{key: fmt.Sprintf("registration-%d-%d", r.o.Seed, i), resend: i%2 == 0}
-			g.send(ctx, httpClient, r, i)
+			g.send(ctx, httpClient, r, i, r.began.Add(d+resendLast))
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, g)
@@ -155,17 +155,24 @@
 	defer r.mu.Unlock()
 	r.extra["plain_calls"], r.extra["plain_answered"] = float64(len(all)), float64(answered)
 	r.extra["plain_not_run"] = float64(notRun)
+	r.extra["plain_unknown"] = float64(len(all) - answered - notRun)
 	r.extra["duplicates_run"], r.extra["false_not_run"] = float64(duplicates), float64(falseNotRun)
 	return nil
 }
 
-// resendEvery is the pause of a caller between two sendings of one call.
-const resendEvery = 500 * time.Millisecond
+const (
+	// resendEvery is the pause of a caller between two sendings of one call.
+	resendEvery = 500 * time.Millisecond
+	// resendLast is how long after the load callers go on sending again. A call
+	// whose reply was lost after it ran is never answered: it must not run again.
+	resendLast = 4 * time.Second
+)
 
-func (g *registration) send(ctx context.Context, c *http.Client, r *run, n int) {
+// send ends when the call is answered or cannot be in time.
+func (g *registration) send(ctx context.Context, c *http.Client, r *run, n int, until time.Time) {
 	for try := 0; ; try++ {
 		g.once(ctx, c, r, n+try)
-		if g.answered || !g.resend || try == 20 {
+		if g.answered || !g.resend || time.Now().After(until) {
 			return
 		}
 		if sleepUntil(ctx, time.Now().Add(resendEvery)) != nil {
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -238,15 +238,24 @@
 	for _, d := range r.f.Live() {
 		var sum float64
 		for _, direction := range []string{"in", "out"} {
-			v, _ := r.f.Metric(ctx, d, fmt.Sprintf("gooseberryroad_peer_bytes_total{direction=%q}", direction))
+			v, ok := r.f.Metric(ctx, d, fmt.Sprintf("gooseberryroad_peer_bytes_total{direction=%q}", direction))
+			if !ok {
+				sum = -1
+				break
+			}
 			sum += v
 		}
-		out[d.OperatorAddress()] = sum
+		if sum >= 0 {
+			out[d.OperatorAddress()] = sum
+		}
 	}
 	return out
 }
 
 func (r *run) summariseControl(ctx context.Context, before map[string]float64, storeCalls int64, elapsed time.Duration) {
+	// The run's own time may be used up.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
 	n, sum := 0, 0.0
 	for address, now := range r.controlBytes(ctx) {
 		if was, ok := before[address]; ok {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -357,19 +357,6 @@
 	return 0, false
 }
 
-// ControlBytes returns the bytes that all live daemons have received and sent
-// on peer links.
-func (f *Fleet) ControlBytes(ctx context.Context) float64 {
-	var sum float64
-	for _, d := range f.Live() {
-		for _, direction := range []string{"in", "out"} {
-			v, _ := f.Metric(ctx, d, fmt.Sprintf("gooseberryroad_peer_bytes_total{direction=%q}", direction))
-			sum += v
-		}
-	}
-	return sum
-}
-
 // KillDaemon ends a daemon as the loss of its VM does.
 func (f *Fleet) KillDaemon(i int) {
 	if d := f.Remove(i); d != nil {
