bench: count resume latency of known losses and broken output only

Change: a broken connection counts once output has begun; a lost daemon is matched by the addresses that a request was sent to, so that losses before the first token still count. Small accounts are those of the least weight that send, and their first-token time before the flood is reported beside.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -90,12 +90,13 @@
 
 	firstToken, between, resume *recorder
 	clients                     []*client.Client
-	smallFirst                  *recorder // first-token time of small accounts
-	hits                        map[string][]time.Time
-	lostDaemons                 []daemonLoss
-	watch                       watch
-	procs                       *processes // nil when daemons share this process
-	extra                       map[string]float64
+	// First-token time of small accounts: before a flood and otherwise.
+	smallBefore, smallFirst *recorder
+	hits                    map[string][]time.Time
+	lostDaemons             []daemonLoss
+	watch                   watch
+	procs                   *processes // nil when daemons share this process
+	extra                   map[string]float64
 }
 
 // Run executes a scenario and returns its report.
@@ -111,7 +112,7 @@
 		o.Progress = io.Discard
 	}
 	r := &run{o: o, s: s, rnd: rand.New(rand.NewPCG(o.Seed, 0)), firstToken: newRecorder(), between: newRecorder(), resume: newRecorder(),
-		smallFirst: newRecorder(), hits: map[string][]time.Time{}, extra: map[string]float64{}}
+		smallBefore: newRecorder(), smallFirst: newRecorder(), hits: map[string][]time.Time{}, extra: map[string]float64{}}
 	if err := r.switchOff(o.Without); err != nil {
 		return nil, err
 	}
@@ -250,7 +251,11 @@
 	if answer.FirstToken > 0 {
 		r.firstToken.add(answer.FirstToken)
 		if r.s.Workload.small(a.account) {
-			r.smallFirst.add(answer.FirstToken)
+			if len(r.s.More) > 0 && a.at < r.s.More[0].From {
+				r.smallBefore.add(answer.FirstToken)
+			} else {
+				r.smallFirst.add(answer.FirstToken)
+			}
 		}
 	}
 	if r.s.Slow == 0 {
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -52,6 +52,9 @@
 	ginkgo.It("knows its small accounts", func() {
 		Expect(standardLoad.small(0)).To(BeFalse())
 		Expect(standardLoad.small(9)).To(BeTrue())
+		idle := Workload{Weights: []float64{0, 1, 1}}
+		Expect(idle.small(0)).To(BeFalse())
+		Expect(idle.small(1)).To(BeTrue())
 	})
 })
 
--- a/bench/nodesize.go
+++ b/bench/nodesize.go
@@ -211,7 +211,7 @@
 			d.out += peer.EncodedSize(a.Msg)
 		case node.UnlinkPeer:
 			delete(d.links, a.Peer)
-			d.step(node.PeerDown{Peer: a.Peer})
+			d.step(node.PeerDown(a))
 		}
 	}
 }
--- a/bench/resume.go
+++ b/bench/resume.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/client"
@@ -39,10 +40,8 @@
 	r.mu.Lock()
 	faults := append([]time.Time(nil), r.hits[prompt]...)
 	for _, l := range r.lostDaemons {
-		for _, served := range a.Daemons {
-			if served == l.address {
-				faults = append(faults, l.at)
-			}
+		if slices.Contains(a.Asked, l.address) {
+			faults = append(faults, l.at)
 		}
 	}
 	r.mu.Unlock()
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -174,6 +174,9 @@
 		r.extra["small_accounts_first_token_ms_p95"] = q.P95
 		r.extra["small_accounts_first_token_ms_max"] = q.Max
 	}
+	if q := r.smallBefore.quantiles(); q.Count > 0 {
+		r.extra["small_accounts_first_token_ms_p95_before"] = q.P95
+	}
 	if r.procs == nil {
 		r.extra["slow_reader_bytes_max"] = float64(w.largestHeld)
 		r.extra["daemon_held_bytes_max"] = float64(w.daemonHeld)
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -32,9 +31,17 @@
 	Label string
 }
 
-// small reports whether an account has the smallest weight.
+// small reports whether an account has the smallest weight of those that send.
 func (w Workload) small(account int) bool {
-	return account < len(w.Weights) && w.Weights[account] <= slices.Min(w.Weights)
+	if account >= len(w.Weights) || w.Weights[account] == 0 {
+		return false
+	}
+	for _, x := range w.Weights {
+		if x > 0 && x < w.Weights[account] {
+			return false
+		}
+	}
+	return true
 }
 
 // arrival is one request of a workload.
--- a/client/client.go
+++ b/client/client.go
@@ -68,10 +68,14 @@
 	Gaps []time.Duration
 	// Reconnects counts connections after the first.
 	Reconnects int
-	// ResumeGaps are the times from a broken connection to the next token.
+	// ResumeGaps are the times from a connection that broke after the first
+	// token to the next token.
 	ResumeGaps []time.Duration
 	// Daemons are the addresses that served the answer, in order.
 	Daemons []string
+	// Asked are the addresses that the request was sent to, in order, also when
+	// nothing came back.
+	Asked []string
 }
 
 // Refusal is a typed refusal of a daemon.
@@ -148,7 +152,7 @@
 			s.answer.Text = s.text.String()
 			return s.answer, err
 		}
-		if s.broken.IsZero() {
+		if s.broken.IsZero() && s.tokens > 0 {
 			s.broken = time.Now()
 		}
 		s.answer.Reconnects++
@@ -221,6 +225,7 @@
 	if err != nil {
 		return err
 	}
+	s.answer.Asked = append(s.answer.Asked, addr)
 	res, err := s.c.transport.RoundTrip(req)
 	if err != nil {
 		return errors.Join(errReconnect, err)
