bench: move versions in a quiet night in virtual time

Purpose: a move with a request a minute must not stall; rollout has no tests in this tree, and a real run would take a night.

Change: the scenario quiet-night drives the Movers of six daemons through 40 nights, good and bad in turn, while the owner dies every two hours and comes back without its state. Two nights are tests.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -51,6 +51,8 @@
 	// Slow makes every caller stop reading after a quarter of its answer until
 	// this time of the run; 0 makes none.
 	Slow time.Duration
+	// Virtual replaces everything else by a run in virtual time.
+	Virtual func(o Options) (*Report, error)
 	// Prepare runs before the load, for example to set faults.
 	Prepare func(r *run)
 	// Background runs beside the load, for example plain calls.
@@ -111,6 +113,9 @@
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
+	if s.Virtual != nil {
+		return s.Virtual(o)
+	}
 	r := &run{o: o, s: s, rnd: rand.New(rand.NewPCG(o.Seed, 0)), firstToken: newRecorder(), between: newRecorder(), resume: newRecorder(),
 		smallBefore: newRecorder(), smallFirst: newRecorder(), hits: map[string][]time.Time{}, extra: map[string]float64{}}
 	if err := r.switchOff(o.Without); err != nil {
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/rollout"
 )
 
 func loadOf(seed uint64, w Workload) []arrival {
@@ -175,3 +177,27 @@
 		Expect(d.reports).To(BeNumerically(">", 0))
 	})
 })
+
+var _ = ginkgo.Describe("a quiet night", func() {
+	night := func(bad bool) *quiet {
+		q, err := newQuiet(rand.New(rand.NewPCG(1, 0)), bad)
+		Expect(err).NotTo(HaveOccurred())
+		q.run()
+		return q
+	}
+
+	// Guards against a move that stalls with a request a minute while owners die.
+	ginkgo.It("ends a good move by its deadline", func() {
+		q := night(false)
+		Expect(q.rec.PhaseAt(q.now)).To(Equal(rollout.PhaseDone))
+		Expect(q.rec.DoneAt()).To(BeTemporally("<=", q.deadline))
+	})
+
+	// Guards against a bad version that a few requests an hour do not show, and
+	// against requests that it gets after its fault showed.
+	ginkgo.It("rolls a bad version back", func() {
+		q := night(true)
+		Expect(q.rec.PhaseAt(q.now)).To(Equal(rollout.PhaseTakenBack))
+		Expect(q.late).To(BeZero())
+	})
+})
--- a/bench/scenarios.go
+++ b/bench/scenarios.go
@@ -41,7 +41,9 @@
 	},
 }
 
-func init() { scenarios = append(scenarios, append(moveScenarios(), trafficScenarios()...)...) }
+func init() {
+	scenarios = append(append(append(scenarios, moveScenarios()...), trafficScenarios()...), quietNightScenario())
+}
 
 // standardFleet has the size of one of today's deployments.
 var standardFleet = fleet.Options{Daemons: 6, Engines: 25, DataCentres: 4, Accounts: 10}
