--- a/bench/direct.go
+++ b/bench/direct.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strconv"
 	"sync"
 	"time"
@@ -54,7 +53,9 @@
 	first, between := d.first.quantiles(), d.between.quantiles()
 	r.report.DirectFirstTokenMS, r.report.DirectBetweenTokensMS = &first, &between
 	r.extra["direct_failed"] = float64(d.failed)
-	if first.P95 > 0 && between.P95 > 0 {
+	if first.P50 > 0 && between.P50 > 0 {
+		r.extra["first_token_p50_to_direct"] = r.report.FirstTokenMS.P50 / first.P50
+		r.extra["between_tokens_p50_to_direct"] = r.report.BetweenTokensMS.P50 / between.P50
 		r.extra["first_token_p95_to_direct"] = r.report.FirstTokenMS.P95 / first.P95
 		r.extra["between_tokens_p95_to_direct"] = r.report.BetweenTokensMS.P95 / between.P95
 	}
@@ -108,7 +109,8 @@
 	}
 	defer s.Close()
 	for tokens := 0; ; tokens++ {
-		if _, err := s.Next(ctx); errors.Is(err, io.EOF) {
+		var finished *engine.FinishedError
+		if _, err := s.Next(ctx); errors.As(err, &finished) {
 			return nil
 		} else if err != nil {
 			return err
--- a/bench/processes.go
+++ b/bench/processes.go
@@ -139,6 +139,10 @@
 	return u, nil
 }
 
+// minStreams is the least number of streams for which memory for each stream
+// says anything: with fewer, the growth of a process at its start prevails.
+const minStreams = 500
+
 // routerUsage is what the daemons have used, nothing when they share this
 // process.
 func (r *run) routerUsage(ctx context.Context) (usage, error) {
@@ -163,7 +167,7 @@
 		r.extra["router_cpu_us_per_token"] = n * float64((after.processor - before.processor).Microseconds()) / float64(t)
 	}
 	r.report.ControlBytesPerSecond = (after.control - before.control) / after.at.Sub(before.at).Seconds()
-	if streams := r.watch.peakStreams; streams > 0 && r.watch.peakResident > before.resident {
+	if streams := r.watch.peakStreams; streams >= minStreams && r.watch.peakResident > before.resident {
 		r.extra["router_bytes_per_stream"] = n * (r.watch.peakResident - before.resident) / float64(streams)
 		r.extra["router_streams_max"] = float64(streams)
 	}
