--- a/bench/without.go
+++ b/bench/without.go
@@ -19,6 +19,7 @@
 
 var mechanisms = map[string]mechanism{
 	"resume":       {"engines resume streams (document: resumes = false)", func(s *Scenario) { s.Fleet.NoResume = true }},
+	"peers":        {"daemons link to each other (settings: no seeds)", func(s *Scenario) { s.Fleet.NoSeeds = true }},
 	"priorities":   {"engines serve continuations first (option of the stand-in)", func(s *Scenario) { s.Fleet.Engine.NoPriorities = true }},
 	"prefix-cache": {"engines cache prefixes (option of the stand-in)", func(s *Scenario) { s.Fleet.Engine.CacheTokens = -1 }},
 	withoutText:    {"callers return their text with the cursor (option of the caller)", func(*Scenario) {}},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,9 @@
 	// NoResume says in the document that engines do not resume, so that every
 	// loss needs a continuation. Experiments compare with it.
 	NoResume bool
+	// NoSeeds starts daemons that know of no other, so that none link.
+	// Experiments compare with it.
+	NoSeeds bool
 	// DrainNotice and DrainDeadline are settings of the daemons.
 	DrainNotice, DrainDeadline time.Duration
 }
@@ -195,7 +198,9 @@
 	f.mu.Unlock()
 	var seeds []string
 	for _, d := range f.Live() {
-		seeds = append(seeds, d.PeerAddress())
+		if !f.o.NoSeeds {
+			seeds = append(seeds, d.PeerAddress())
+		}
 	}
 	text := f.Settings(n, seeds)
 	s, problems := settings.Parse("fleet", []byte(text))
