--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,18 @@
 	// Plain starts one plain service with this many replicas.
 	Plain  int
 	Logger *slog.Logger
+	// NextEngines starts this many more engines of version v2 that the first
+	// document names; they get no work until a move begins.
+	NextEngines int
+	// ForwardStore puts a Forwarder between the store and the daemons of each
+	// data centre.
+	ForwardStore bool
+	// NoResume says in the document that engines do not resume, so that every
+	// loss needs a continuation. Experiments compare with it.
+	NoResume bool
+	// NoSeeds starts daemons that know of no other, so that none link.
+	// Experiments compare with it.
+	NoSeeds bool
 	// DrainNotice and DrainDeadline are settings of the daemons.
 	DrainNotice, DrainDeadline time.Duration
 }
@@ -54,7 +67,10 @@
 	Store   *standin.Store
 	Engines []*Engine
 	Plain   []*standin.Service
-	http    *http.Client
+	// StoreLinks are the forwarders to the store by data centre; see
+	// Options.ForwardStore.
+	StoreLinks map[string]*Forwarder
+	http       *http.Client
 
 	mu      sync.Mutex
 	daemons []*daemon.Daemon // nil where one was killed
@@ -67,7 +83,7 @@
 }
 
 // Start starts everything, applies the documents and waits until every daemon
-// serves them.
+// serves them. Without daemons it starts the stand-ins only.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{o: o, http: &http.Client{Timeout: 10 * time.Second}}
 	if err := f.start(ctx); err != nil {
@@ -81,11 +97,24 @@
 	if f.Store, err = standin.StartStore(ctx, standin.StoreOptions{}); err != nil {
 		return eris.Wrap(err, "start the store")
 	}
+	if f.o.ForwardStore {
+		f.StoreLinks = map[string]*Forwarder{}
+		for n := range max(f.o.DataCentres, 1) {
+			if f.StoreLinks[f.dataCentre(n)], err = NewForwarder(f.Store.Address()); err != nil {
+				return err
+			}
+		}
+	}
 	for range f.o.Engines {
 		if _, err := f.AddEngine(ctx, "v1"); err != nil {
 			return err
 		}
 	}
+	for range f.o.NextEngines {
+		if _, err := f.AddEngine(ctx, "v2"); err != nil {
+			return err
+		}
+	}
 	for range f.o.Plain {
 		s, err := standin.StartService(ctx, standin.ServiceOptions{})
 		if err != nil {
@@ -98,6 +127,9 @@
 			return err
 		}
 	}
+	if f.o.Daemons == 0 {
+		return nil
+	}
 	if err := f.Apply(ctx, Service, f.Document(Versions{Serving: "v1"})); err != nil {
 		return err
 	}
@@ -126,17 +158,9 @@
 
 func (f *Fleet) dataCentre(n int) string { return fmt.Sprintf("dc%d", n%max(f.o.DataCentres, 1)) }
 
-// AddDaemon starts one more daemon.
-func (f *Fleet) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
-	f.mu.Lock()
-	n := len(f.daemons)
-	f.daemons = append(f.daemons, nil)
-	f.mu.Unlock()
-	var seeds []string
-	for _, d := range f.Live() {
-		seeds = append(seeds, d.PeerAddress())
-	}
-	text := fmt.Sprintf(`
+// Settings returns the settings of the daemon with number n.
+func (f *Fleet) Settings(n int, seeds []string) string {
+	return fmt.Sprintf(`
 [daemon]
 name = d%02d
 datacentre = %s
@@ -156,7 +180,29 @@
 deadline = %s
 [team.%s]
 key_sha256 = %s
-`, n, f.dataCentre(n), Region, f.Store.Address(), strings.Join(seeds, ","), f.o.DrainNotice, f.o.DrainDeadline, Team, document.HashKey(TeamKey))
+`, n, f.dataCentre(n), Region, f.storeAddress(f.dataCentre(n)), strings.Join(seeds, ","), f.o.DrainNotice, f.o.DrainDeadline, Team, document.HashKey(TeamKey))
+}
+
+func (f *Fleet) storeAddress(dataCentre string) string {
+	if l := f.StoreLinks[dataCentre]; l != nil {
+		return l.Address()
+	}
+	return f.Store.Address()
+}
+
+// AddDaemon starts one more daemon.
+func (f *Fleet) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
+	f.mu.Lock()
+	n := len(f.daemons)
+	f.daemons = append(f.daemons, nil)
+	f.mu.Unlock()
+	var seeds []string
+	for _, d := range f.Live() {
+		if !f.o.NoSeeds {
+			seeds = append(seeds, d.PeerAddress())
+		}
+	}
+	text := f.Settings(n, seeds)
 	s, problems := settings.Parse("fleet", []byte(text))
 	if len(problems) > 0 {
 		return nil, problems
@@ -187,7 +233,7 @@
 // Document returns the document of the model service with all engines.
 func (f *Fleet) Document(v Versions) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[service]\nname = %s\nteam = %s\nkind = model\nmodel = %s\nresumes = true\npriorities = true\n", Service, Team, Model)
+	fmt.Fprintf(&b, "[service]\nname = %s\nteam = %s\nkind = model\nmodel = %s\nresumes = %t\npriorities = true\n", Service, Team, Model, !f.o.NoResume)
 	f.versions(&b, v)
 	for _, e := range f.Engines {
 		fmt.Fprintf(&b, "[upstream.%s]\naddress = %s\ndatacentre = %s\nregion = %s\nversion = %s\n", e.Name, e.Address(), e.DataCentre, Region, e.Version)
@@ -231,8 +277,14 @@
 	if len(daemons) == 0 {
 		return eris.New("no daemon is alive")
 	}
+	return f.ApplyAt(ctx, daemons[0], service, text)
+}
+
+// ApplyAt is Apply through the given daemon.
+func (f *Fleet) ApplyAt(ctx context.Context, at *daemon.Daemon, service, text string) error {
+	daemons := f.Live()
 	_, current := f.Store.Value("config/" + service)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+daemons[0].OperatorAddress()+"/v1/services/"+service, bytes.NewReader([]byte(text)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+at.OperatorAddress()+"/v1/services/"+service, bytes.NewReader([]byte(text)))
 	if err != nil {
 		return err
 	}
@@ -285,6 +337,31 @@
 	return d
 }
 
+// Metric returns the value of a metric of a daemon, as its operator API
+// exports it, and false if it has none.
+func (f *Fleet) Metric(ctx context.Context, d *daemon.Daemon, name string) (float64, bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.OperatorAddress()+"/metrics", http.NoBody)
+	if err != nil {
+		return 0, false
+	}
+	res, err := f.http.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, false
+	}
+	for line := range strings.Lines(string(b)) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			v, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			return v, err == nil
+		}
+	}
+	return 0, false
+}
+
 // KillDaemon ends a daemon as the loss of its VM does.
 func (f *Fleet) KillDaemon(i int) {
 	if d := f.Remove(i); d != nil {
@@ -331,6 +408,11 @@
 	for _, s := range f.Plain {
 		s.Close()
 	}
+	for _, l := range f.StoreLinks {
+		if l != nil {
+			l.Close()
+		}
+	}
 	if f.Store != nil {
 		f.Store.Close()
 	}
