revision: use a hash of sets that neighbouring revisions cannot cancel

A daemon could believe that it had all documents of a peer while it lacked one: the exclusive or of FNV hashes is equal for some sets that differ in two services, such as revisions 1, 1, 15 and 1, 5, 3 of three services. Then neither the comparison of hashes nor the status noticed the gap. The new test fails with the former hash.

--- a/membership/members.go
+++ b/membership/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -41,10 +43,8 @@
 // ID identifies a member and its incarnation in heartbeats, where the name
 // would take most of the bytes.
 func (m *Member) ID() uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(m.Name))
-	h.Write([]byte{byte(m.Incarnation), byte(m.Incarnation >> 8), byte(m.Incarnation >> 16), byte(m.Incarnation >> 24), byte(m.Incarnation >> 32), byte(m.Incarnation >> 40)})
-	return h.Sum32()
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte(m.Name+"\x00"), m.Incarnation))
+	return binary.BigEndian.Uint32(sum[:4])
 }
 
 // MemberOptions configure Members. The zero value of a timer selects its
--- a/node/peers.go
+++ b/node/peers.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"hash/fnv"
 	"slices"
 	"sort"
@@ -507,7 +506,5 @@
 	if e.Index == 0 {
 		return 0
 	}
-	h := fnv.New64a()
-	fmt.Fprintf(h, "%s\x00%d", e.Key, e.Index)
-	return h.Sum64()
+	return revision.EntryHash(e.Key, e.Index)
 }
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -1,8 +1,8 @@
 package revision
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
-	"hash/fnv"
 	"sort"
 	"strings"
 
@@ -160,8 +160,14 @@
 	if r == nil {
 		return 0
 	}
-	h := fnv.New64a()
-	h.Write([]byte(r.Service))
-	h.Write(binary.BigEndian.AppendUint64([]byte{0}, r.Revision))
-	return h.Sum64()
+	return EntryHash(Prefix+r.Service, r.Revision)
+}
+
+// EntryHash is the part of one entry in the hash of a set, which is the
+// exclusive or of all parts. It is cut from a cryptographic hash: with FNV, the
+// differences between neighbouring revisions of two services can be equal and
+// cancel out, so that different sets had equal hashes.
+func EntryHash(key string, revision uint64) uint64 {
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte(key+"\x00"), revision))
+	return binary.BigEndian.Uint64(sum[:8])
 }
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -133,4 +133,22 @@
 			}
 		})
 	})
+
+	// Guards against different sets with equal hashes, which made a daemon
+	// believe that it had all documents of a peer. Two services that both move
+	// from one revision to a neighbouring one were enough.
+	It("has a hash that differs between sets of neighbouring revisions", func() {
+		seen := map[uint64][3]uint64{}
+		for a := uint64(1); a <= 40; a++ {
+			for b := uint64(1); b <= 40; b++ {
+				for c := uint64(1); c <= 40; c++ {
+					h := revision.EntryHash("config/s0", a) ^ revision.EntryHash("config/s1", b) ^ revision.EntryHash("config/s2", c)
+					if old, ok := seen[h]; ok {
+						Fail(fmt.Sprintf("revisions %v and %v have the same hash", old, []uint64{a, b, c}))
+					}
+					seen[h] = [3]uint64{a, b, c}
+				}
+			}
+		}
+	})
 })
