node: send one notice for the repeats of an alarm; look at states less often

Cause, from docs/CAPACITY.md: each daemon that learns of an alarm repeats it as a notice of its own, which grows with the square of the daemons; and all upstreams were gone through after each load report, half of the time of the control goroutine at 2,500 upstreams. Change: repeats within 500 ms have the same body and go out once; states are looked at after a report only if it brought a mark, else at the next tick. Not measured again yet.

--- a/node/moves.go
+++ b/node/moves.go
@@ -30,8 +30,13 @@
 	body []byte
 }
 
+// alarmRepeat is the least time between two notices of one alarm.
+const alarmRepeat = 500 * time.Millisecond
+
 // alarmNotice is the body of a notice of TopicAlarm. Sent makes repeats differ,
-// because notices with the same body go out only once.
+// because notices with the same body go out only once. It is cut to
+// alarmRepeat, so that the repeats of all daemons that pass one alarm on are
+// one notice and not one for each daemon.
 type alarmNotice struct {
 	Alarm rollout.Alarm `json:"alarm"`
 	Sent  time.Time     `json:"sent"`
@@ -260,7 +265,7 @@
 }
 
 func (n *Node) sendAlarm(now time.Time, a rollout.Alarm) []Action {
-	b, err := json.Marshal(alarmNotice{Alarm: a, Sent: now})
+	b, err := json.Marshal(alarmNotice{Alarm: a, Sent: now.UTC().Truncate(alarmRepeat)})
 	if err != nil {
 		panic("node: alarm does not encode: " + err.Error())
 	}
--- a/node/polls.go
+++ b/node/polls.go
@@ -148,7 +148,12 @@
 		out = append(out, Explain{Subject: "upstream/" + m.Address, Text: fmt.Sprintf(
 			"incarnation %q is %s according to %s", m.Incarnation, m.State, source)})
 	}
-	n.refreshStates(now)
+	// Without a mark a state only became better, which may wait for the next
+	// tick: going through all upstreams after each load report was half of the
+	// control goroutine's work at 2,500 upstreams.
+	if len(marks) > 0 {
+		n.refreshStates(now)
+	}
 	return append(out, n.spread(marks, from)...)
 }
 
