plain: heed the quarantine, and test spans, metrics and refusals

A plain upstream can be crashed by one call as an engine can. The handler refuses quarantined and held contents before a claim is made, runs a suspect on the upstream of its trial only, and reports the content with each result, so that the control state can name what was in flight. Refusing all suspects was ruled out: an innocent call that was in flight at a crash would be refused until its suspicion expires.

Trials on a scratch copy: without the verdict, the passing on of the trace, or the choice of the trial's upstream, a test fails.

--- a/plain/forward.go
+++ b/plain/forward.go
@@ -80,7 +80,7 @@
 	defer span.End()
 	start := h.o.Clock.Now()
 	rep, aerr := h.send(ctx, c, u)
-	res := Result{Service: c.view.Doc.Name, Route: c.route.Name, Version: u.Version, Upstream: u.Name,
+	res := Result{Service: c.view.Doc.Name, Route: c.route.Name, Version: u.Version, Upstream: u.Name, Content: c.content,
 		At: start, Duration: h.o.Clock.Now().Sub(start)}
 	result := "reply"
 	if aerr != nil {
@@ -93,6 +93,7 @@
 	} else {
 		res.Status = rep.status
 		rep.result = res
+		c.completed = rep.rest == nil
 		span.SetAttributes(attribute.Int("status", rep.status))
 	}
 	h.o.Metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberryroad_plain_attempts_total{service=%q,result=%q}`, res.Service, result)).Inc()
@@ -282,6 +283,7 @@
 		return n, true
 	}
 	m, err := io.CopyBuffer(lenient{w}, struct{ io.Reader }{rep.rest}, make([]byte, 16<<10))
+	c.completed = err == nil
 	if err != nil {
 		rep.result.Lost = true
 		h.o.OnResult(rep.result)
--- a/plain/handler.go
+++ b/plain/handler.go
@@ -28,6 +28,7 @@
 	"github.com/gooseberryroad/gooseberryroad/claim"
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/refusal"
 	"github.com/gooseberryroad/gooseberryroad/store"
 )
@@ -56,6 +57,8 @@
 	codeOverloaded     = "overloaded"
 	codeDraining       = "draining"
 	codeNoUpstream     = "no_upstream"
+	codeQuarantined    = "quarantined"
+	codeSuspect        = "suspect_held"
 )
 
 // maxKeyBytes bounds an idempotency key, as published drafts of the header do.
@@ -87,6 +90,8 @@
 	Unreachable bool
 	// Lost is set when bytes were sent and no whole reply came back.
 	Lost bool
+	// Content identifies the call for the quarantine.
+	Content quarantine.Hash
 }
 
 // Options configure a Handler.
@@ -103,6 +108,15 @@
 	Nonce  func() string
 	Daemon string
 	Logger *slog.Logger
+	// Verdict returns the quarantine's verdict on a call's content; nil means
+	// that all are clear. Quarantined calls are refused, held ones are asked to
+	// come back.
+	Verdict func(quarantine.Hash) quarantine.Verdict
+	// Trial waits until a suspect may run on one of the candidates, and returns
+	// which. It returns false if that is not soon enough for ctx. The call's
+	// end is reported with done; completed means that a whole reply came.
+	// Suspects are asked to come back while Trial is nil.
+	Trial func(ctx context.Context, h quarantine.Hash, candidates []string) (upstream string, done func(completed bool), ok bool)
 	// OnResult is called after each attempt at an upstream. It must not block.
 	OnResult func(Result)
 	// BodyLimit bounds a call's body in bytes, besides the document's limit.
@@ -195,6 +209,11 @@
 	body     []byte
 	id       string
 	deadline time.Time
+	content  quarantine.Hash
+	// only is the upstream of a suspect's trial.
+	only string
+	// completed is set once an upstream's reply was read.
+	completed bool
 }
 
 // ServeHTTP handles one call.
@@ -223,6 +242,12 @@
 		c.body, release, ref = h.readBody(r, c)
 		defer release()
 		_ = rc.SetReadDeadline(time.Time{})
+		if ref == nil {
+			c.content = quarantine.HashOf(c.view.Doc.Name, c.method+" "+c.path, c.body)
+			var ended func()
+			ended, ref = h.quarantined(ctx, c)
+			defer ended()
+		}
 	}
 	if ref != nil {
 		h.refuse(w, span, c, *ref)
@@ -360,6 +385,42 @@
 	return no(http.StatusRequestEntityTooLarge, codeTooLarge, tooLarge, 0)
 }
 
+// quarantined refuses a call whose content crashes upstreams, and puts a suspect
+// on trial.
+func (h *Handler) quarantined(ctx context.Context, c *call) (ended func(), ref *refusal.Refusal) {
+	ended = func() {}
+	if h.o.Verdict == nil {
+		return ended, nil
+	}
+	switch h.o.Verdict(c.content) {
+	case quarantine.Clear:
+		return ended, nil
+	case quarantine.Quarantined:
+		return ended, &refusal.Refusal{Status: http.StatusUnprocessableEntity, Code: codeQuarantined, Outcome: refusal.NotRun,
+			Message: "a call with this content crashed the upstreams that ran it; it is not run again for an hour"}
+	case quarantine.Suspect:
+		if h.o.Trial == nil {
+			break
+		}
+		var names []string
+		for i := range c.view.Upstreams {
+			if u := &c.view.Upstreams[i]; usable(c.view, u) && (u.State == node.UpstreamAlive || u.State == node.UpstreamUnknown) {
+				names = append(names, u.Name)
+			}
+		}
+		ctx, cancel := h.withDeadline(ctx, c.deadline)
+		defer cancel()
+		upstream, done, ok := h.o.Trial(ctx, c.content, names)
+		if !ok {
+			break
+		}
+		c.only = upstream
+		return func() { done(c.completed) }, nil
+	}
+	return ended, &refusal.Refusal{Status: http.StatusServiceUnavailable, Code: codeSuspect, Outcome: refusal.NotRun,
+		RetryAfter: 2 * time.Second, Message: "an upstream crashed while it ran a call with this content"}
+}
+
 // refuse sends a refusal and counts it. The call is nil if it was not admitted.
 func (h *Handler) refuse(w http.ResponseWriter, span trace.Span, c *call, ref refusal.Refusal) {
 	service := ""
@@ -418,13 +479,10 @@
 		total := 0.0
 		for i := range view.Upstreams {
 			u := &view.Upstreams[i]
-			if tried[u.Name] || u.Leaving || !contains(states, u.State) || !replicaAllowed(view, u) {
+			if tried[u.Name] || !contains(states, u.State) || !usable(view, u) || c.only != "" && c.only != u.Name {
 				continue
 			}
 			share := share(view, u.Version)
-			if share <= 0 {
-				continue
-			}
 			if byVersion[u.Version] == nil {
 				versions = append(versions, u.Version)
 				total += share
@@ -467,6 +525,11 @@
 	return view.Shares[version]
 }
 
+// usable tells whether the upstream may get new calls at all.
+func usable(view *node.ServiceView, u *node.UpstreamView) bool {
+	return !u.Leaving && replicaAllowed(view, u) && share(view, u.Version) > 0
+}
+
 func replicaAllowed(view *node.ServiceView, u *node.UpstreamView) bool {
 	names, limited := view.Replicas[u.Version]
 	return !limited || contains(names, u.Name)
--- a/plain/plain_test.go
+++ b/plain/plain_test.go
@@ -18,11 +18,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/gooseberryroad/gooseberryroad/claim"
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/node"
 	"github.com/gooseberryroad/gooseberryroad/plain"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/store"
 )
 
@@ -208,6 +211,13 @@
 	return f
 }
 
+// got returns the results so far.
+func (f *fixture) got() []plain.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]plain.Result(nil), f.results...)
+}
+
 type answer struct {
 	status  int
 	header  http.Header
@@ -518,7 +528,7 @@
 		r := f.must("GET", "/services/shop/catalogue/1", "")
 		Expect(r.status).To(BeNumerically(">=", 502))
 		Expect(r.outcome).To(Equal(outcome))
-		Expect(f.results).To(HaveLen(3))
+		Expect(f.got()).To(HaveLen(3))
 	}, Entry("nothing sent", false, "not_run"), Entry("replies lost", true, "may_have_run"))
 
 	// Guards the total deadline over all attempts.
@@ -581,6 +591,114 @@
 	})
 })
 
+var _ = Describe("quarantine", func() {
+	// Guards against a content that crashes upstreams and is sent again under
+	// another key.
+	DescribeTable("refuses with not_run", func(v quarantine.Verdict, status int, code string) {
+		address, count := upstream(created)
+		bad := quarantine.HashOf("shop", "POST /orders", []byte("poison"))
+		f := newFixture(func(o *plain.Options) {
+			o.Verdict = func(h quarantine.Hash) quarantine.Verdict {
+				if h == bad {
+					return v
+				}
+				return quarantine.Clear
+			}
+		}, address)
+		for _, key := range []string{"k1", "k2"} {
+			a := f.must("POST", "/services/shop/orders", "poison", "Idempotency-Key", key)
+			Expect(a.status).To(Equal(status))
+			Expect(a.code).To(Equal(code))
+			Expect(a.outcome).To(Equal("not_run"))
+		}
+		Expect(count.Load()).To(BeZero())
+		Expect(f.must("POST", "/services/shop/orders", "honey", "Idempotency-Key", "k3").status).To(Equal(201))
+		Expect(f.got()[0].Content).To(Equal(quarantine.HashOf("shop", "POST /orders", []byte("honey"))))
+	},
+		Entry("quarantined", quarantine.Quarantined, 422, "quarantined"),
+		Entry("held", quarantine.Held, 503, "suspect_held"),
+		Entry("suspect without trials", quarantine.Suspect, 503, "suspect_held"),
+	)
+
+	// Guards against a suspect that runs beside its trial's upstream or is sent
+	// again to another one, and against a trial that never ends.
+	DescribeTable("runs a suspect on the upstream of its trial only", func(method, path string, lost bool) {
+		var counts []*atomic.Int64
+		var addresses []string
+		for range 4 {
+			a, c := upstream(func(w http.ResponseWriter, r *http.Request) {
+				if lost {
+					cut(w, r)
+				}
+				created(w, r)
+			})
+			addresses, counts = append(addresses, a), append(counts, c)
+		}
+		ended := make(chan bool, 8)
+		f := newFixture(func(o *plain.Options) {
+			o.Verdict = func(quarantine.Hash) quarantine.Verdict { return quarantine.Suspect }
+			o.Trial = func(_ context.Context, _ quarantine.Hash, names []string) (string, func(bool), bool) {
+				if len(names) != 4 {
+					return "", nil, false
+				}
+				return "u2", func(completed bool) { ended <- completed }, true
+			}
+		}, addresses...)
+		for i := range 4 {
+			a := f.must(method, path, "x", "Idempotency-Key", fmt.Sprint(i))
+			Expect(a.status == 201).To(Equal(!lost))
+			Eventually(ended).Should(Receive(Equal(!lost)))
+		}
+		for i, c := range counts {
+			Expect(c.Load()).To(Equal(map[bool]int64{true: 4, false: 0}[i == 2]))
+		}
+	},
+		Entry("idempotent", "GET", "/services/shop/catalogue/1", false),
+		Entry("idempotent, lost", "GET", "/services/shop/catalogue/1", true),
+		Entry("non-idempotent", "POST", "/services/shop/orders", false),
+		Entry("non-idempotent, lost", "POST", "/services/shop/orders", true),
+	)
+})
+
+var _ = Describe("telemetry", func() {
+	// Guards against attempts that cannot be told apart in a trace, and against
+	// a trace that ends at the daemon.
+	It("has a span for the call and one for each attempt, and passes the trace on", func() {
+		var parents []string
+		var mu sync.Mutex
+		record := func(next http.HandlerFunc) http.HandlerFunc {
+			return func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				parents = append(parents, r.Header.Get("Traceparent"))
+				mu.Unlock()
+				next(w, r)
+			}
+		}
+		a1, _ := upstream(record(cut))
+		a2, _ := upstream(record(cut))
+		rec := tracetest.NewSpanRecorder()
+		var set *metrics.Set
+		f := newFixture(func(o *plain.Options) {
+			o.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(rec))
+			set = o.Metrics
+		}, a1, a2)
+		f.must("GET", "/services/shop/catalogue/1", "")
+		Eventually(func() int { return len(rec.Ended()) }).Should(Equal(3))
+		spans := rec.Ended()
+		mu.Lock()
+		defer mu.Unlock()
+		Expect([]string{spans[0].Name(), spans[1].Name(), spans[2].Name()}).To(Equal([]string{"plain.attempt", "plain.attempt", "plain.call"}))
+		for i := range 2 {
+			Expect(spans[i].Parent().SpanID()).To(Equal(spans[2].SpanContext().SpanID()))
+			Expect(parents[i]).To(ContainSubstring(spans[i].SpanContext().SpanID().String()))
+		}
+		var text strings.Builder
+		set.WritePrometheus(&text)
+		Expect(text.String()).To(ContainSubstring(`gooseberryroad_plain_attempts_total{service="shop",result="lost"} 2`))
+		Expect(text.String()).To(ContainSubstring(`gooseberryroad_plain_refusals_total{service="shop",code="reply_lost",outcome="may_have_run"} 1`))
+	})
+})
+
 var _ = Describe("headers", func() {
 	// Guards against the account's key and the hop's headers at an upstream.
 	It("end at the hop", func() {
