--- a/bench/bench.go
+++ b/bench/bench.go
@@ -33,6 +33,8 @@
 	Without string
 	// Baseline "direct" sends the same load once more straight to the engines.
 	Baseline string
+	// Daemons replaces the scenario's number of daemons; 0 keeps it.
+	Daemons int
 	// Processes runs the daemons of a scenario without faults as processes, and
 	// measures what they use.
 	Processes bool
@@ -116,13 +118,16 @@
 	if s.Virtual != nil {
 		return s.Virtual(o)
 	}
+	if o.Daemons > 0 {
+		s.Fleet.Daemons = o.Daemons
+	}
 	r := &run{o: o, s: s, rnd: rand.New(rand.NewPCG(o.Seed, 0)), firstToken: newRecorder(), between: newRecorder(), resume: newRecorder(),
 		smallBefore: newRecorder(), smallFirst: newRecorder(), hits: map[string][]time.Time{}, extra: map[string]float64{}}
 	if err := r.switchOff(o.Without); err != nil {
 		return nil, err
 	}
 	s = r.s
-	r.report = Report{Scenario: s.Name, Seed: o.Seed, Without: o.Without, DurationSeconds: o.Duration.Seconds()}
+	r.report = Report{Scenario: s.Name, Seed: o.Seed, Without: o.Without, DurationSeconds: o.Duration.Seconds(), Daemons: s.Fleet.Daemons}
 	if o.Processes && (s.Faults != nil || s.Background != nil || s.Finish != nil || s.Fleet.Plain > 0) {
 		return nil, eris.Errorf("scenario %q needs its daemons in this process", s.Name)
 	}
--- a/bench/report.go
+++ b/bench/report.go
@@ -14,6 +14,7 @@
 	Without         string  `json:"without,omitempty"`
 	DurationSeconds float64 `json:"duration_s"`
 	Processors      int     `json:"processors"`
+	Daemons         int     `json:"daemons"`
 
 	Requests      int `json:"requests"`
 	AnswersWhole  int `json:"answers_whole"`
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -20,6 +20,7 @@
 	cmd.Flag("scenario", "Scenario to run; capacity measures what control costs by the number of daemons and replicas.").Default("steady").EnumVar(&o.Scenario, append(bench.Names(), bench.CapacityScenario)...)
 	cmd.Flag("seed", "Seed of load and faults.").Default("1").Uint64Var(&o.Seed)
 	cmd.Flag("duration", "How long requests arrive; 0 takes the scenario's own.").Default("0s").DurationVar(&o.Duration)
+	cmd.Flag("daemons", "Number of daemons; 0 takes the scenario's own.").Default("0").IntVar(&o.Daemons)
 	cmd.Flag("processes", "Run the daemons as processes and measure what they use; for scenarios without faults.").BoolVar(&o.Processes)
 	output := cmd.Flag("output", "Format of the report.").Default("text").Enum("text", "json")
 	cmd.Flag("without", "Run without one mechanism.").EnumVar(&o.Without, bench.Mechanisms()...)
