Tell the former daemon of an adopted generation; admit by less at first

(2) Ten callers of 20 tokens on two idle engines got 143 refusals of 1,018 requests: the rate of work was estimated from zero, and a request counted as 1/8 of an engine until 20 load reports had come. (3) Plain calls were refused during the drain notice. (5) vms.interval had no effect.

Change: adoptions go to the daemon as direct messages, repeated over 8 s because one can be lost; abandon_grace is a setting. The rate counts after 2 s and is scaled by the time seen; an engine is taken to hold 16,384 tokens until 5 reports have come. Plain calls are refused after the notice.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -416,6 +416,7 @@
 
 // rateEstimate is an exponentially weighted average of finished cost.
 type rateEstimate struct {
+	began time.Time
 	at    time.Time
 	value float64 // cost per second
 }
@@ -425,14 +426,25 @@
 const rateWindow = 5 * time.Second
 
 func (e *rateEstimate) add(now time.Time, cost float64) {
-	if e.at.IsZero() {
-		e.at = now
-		e.value = cost / rateWindow.Seconds()
-		return
+	if e.began.IsZero() {
+		e.began, e.at = now, now
 	}
 	decay := math.Exp(-now.Sub(e.at).Seconds() / rateWindow.Seconds())
 	e.value = e.value*decay + cost/rateWindow.Seconds()
 	e.at = now
 }
 
-func (e *rateEstimate) perSecond() float64 { return e.value }
+// minRateTime is how long work must have been seen before the estimate counts.
+// The first few requests say little, and refusing by them shuts callers out of
+// an idle service.
+const minRateTime = 2 * time.Second
+
+// perSecond returns 0 while the rate is not known. The average starts at zero,
+// so it is scaled up by the part of its window that has been seen.
+func (e *rateEstimate) perSecond() float64 {
+	seen := e.at.Sub(e.began)
+	if seen < minRateTime {
+		return 0
+	}
+	return e.value / (1 - math.Exp(-seen.Seconds()/rateWindow.Seconds()))
+}
--- a/cli/service.go
+++ b/cli/service.go
@@ -267,6 +267,9 @@
 		_, err := c.call(ctx, http.MethodGet, servicePath(name)+"/status", "", nil, &s)
 		var api *apiError
 		switch {
+		case errors.As(err, &api) && api.status == http.StatusNotFound:
+			// The daemon accepted the change but has not published it yet.
+			last = err.Error()
 		case errors.As(err, &api) && api.status < 500:
 			return c.exit(e, err)
 		case err != nil:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,7 +90,7 @@
 	d.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return &fxevent.SlogLogger{Logger: slog.New(slog.DiscardHandler)} }),
 		fx.Supply(o.Settings, o.Logger, ln),
-		fx.Provide(newStore, newLister, newEngines, newSealer, newControlMetrics, newSelf, newPeers, newLoop, newEntry, newPlain, newOperator),
+		fx.Provide(newStore, newLister, newEngines, newSealer, newControlMetrics, newSelf, newPeers, newReceiver, newLoop, newEntry, newPlain, newOperator),
 		fx.Invoke(d.attach),
 	)
 	if err := d.app.Err(); err != nil {
@@ -180,7 +180,7 @@
 	return peer.New(peer.Options{Self: self, Key: s.Peers.Key, Logger: log, Metrics: set.Set})
 }
 
-func newLoop(s *settings.Settings, log *slog.Logger, st store.Store, vms vmlist.Lister, clients engines, self membership.Member, links *peer.Transport, set controlMetrics) (*control.Loop, error) {
+func newLoop(s *settings.Settings, log *slog.Logger, st store.Store, vms vmlist.Lister, clients engines, self membership.Member, links *peer.Transport, r *receiver, set controlMetrics) (*control.Loop, error) {
 	n, err := seed()
 	if err != nil {
 		return nil, err
@@ -194,6 +194,7 @@
 			Incarnation: self.Incarnation,
 			Seeds:       s.Peers.Seeds,
 			Rand:        mathrand.New(mathrand.NewPCG(n, 1)),
+			VMInterval:  s.VMs.Interval,
 		},
 		Peers:        links,
 		Store:        st,
@@ -203,6 +204,7 @@
 		Logger:       log,
 		StoreTimeout: s.Store.Timeout,
 		VMTimeout:    s.VMs.Timeout,
+		Received:     r.received,
 		Metrics:      set.Set,
 	}), nil
 }
@@ -223,6 +225,8 @@
 		Logger:         log,
 		Seed:           n,
 		HeldBytes:      s.Memory.HeldBytes,
+		Adopted:        adopter{loop, s.Daemon.Name}.tell,
+		AbandonGrace:   s.Cursor.AbandonGrace,
 		Report:         reporter{loop}.generation,
 		Tracer:         otel.GetTracerProvider(),
 	}), nil
@@ -266,7 +270,8 @@
 }
 
 // attach builds the HTTP servers and hooks them into the application's life.
-func (d *Daemon) attach(lc fx.Lifecycle, loop *control.Loop, links *peer.Transport, e *entry.Entry, p *plain.Handler, op *operator.Server) {
+func (d *Daemon) attach(lc fx.Lifecycle, loop *control.Loop, links *peer.Transport, r *receiver, e *entry.Entry, p *plain.Handler, op *operator.Server) {
+	r.entry.Store(e)
 	d.loop, d.peers, d.entry, d.plain = loop, links, e, p
 	mux := http.NewServeMux()
 	mux.Handle(plain.Prefix, p)
@@ -309,6 +314,7 @@
 func (d *Daemon) stop(ctx context.Context) error {
 	d.loop.Post(node.Drain{})
 	sleep(ctx, d.settings.Drain.Notice)
+	d.plain.StopNewCalls()
 	drain, cancel := context.WithTimeout(ctx, d.settings.Drain.Deadline)
 	defer cancel()
 	d.entry.Drain(drain)
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -18,19 +18,19 @@
 	// may use. The rest is left for continuations, which already cost work.
 	newShare = 0.8
 	// A request will hold bytes for its prompt and its output, up to its token
-	// limit. The bytes of one token are learned from load reports; before the
-	// first useful report a request is taken for defaultRequestShare of the
-	// engine's memory. Both keep to maxRequestShare, or a request that one
-	// engine can hold could never start.
-	defaultRequestShare = 1.0 / 8
-	maxRequestShare     = 1.0 / 4
+	// limit. The bytes of one token are learned from load reports. Before there
+	// are learnReports of them, an engine's memory is taken to hold no more than
+	// defaultTokens. No request counts as more than maxRequestShare of the memory,
+	// or one that an engine can hold could never start.
+	defaultTokens   = 16384
+	maxRequestShare = 1.0 / 4
 	// Reports lag behind the tokens that this daemon has seen, so they show too
 	// few bytes for a token while requests are young.
 	lagFactor = 1.25
 	// averageWeight is the weight of one report in the averages, and
 	// learnReports how many must have come before they are used.
 	averageWeight = 0.02
-	learnReports  = 20
+	learnReports  = 5
 	// promptBytesPerToken is the usual length of a token of text.
 	promptBytesPerToken = 4
 	// admitInterval is how often waiting requests are looked at again, because
@@ -97,7 +97,7 @@
 	m := float64(l.memory)
 	bytes := lagFactor * g.meanBytes / max(g.meanTokens, 1) * float64(tokens)
 	if g.reports < learnReports {
-		bytes = max(bytes, m*defaultRequestShare)
+		bytes = max(bytes, m*float64(tokens)/defaultTokens)
 	}
 	return int64(min(bytes, m*maxRequestShare))
 }
--- a/node/events.go
+++ b/node/events.go
@@ -83,6 +83,10 @@
 // Sample is one observation for the judgement of versions.
 type Sample = rollout.Sample
 
+// Adopted reports that this daemon continues a generation that began at the
+// named one, which must not cancel it.
+type Adopted struct{ Daemon, Generation string }
+
 // Drain stops new work at this daemon.
 type Drain struct{}
 
@@ -100,6 +104,7 @@
 func (UpstreamRefused) event() {}
 func (Crash) event()           {}
 func (Sampled) event()         {}
+func (Adopted) event()         {}
 func (Drain) event()           {}
 func (Tick) event()            {}
 
--- a/node/messages.go
+++ b/node/messages.go
@@ -74,6 +74,8 @@
 	TopicSamples    = "samples"
 	TopicLookup     = "lookup"
 	TopicFound      = "found"
+	// TopicAdopted carries the generation that the sender continues.
+	TopicAdopted = "adopted"
 )
 
 func (Digest) msg()    {}
--- a/node/moves.go
+++ b/node/moves.go
@@ -20,14 +20,14 @@
 	owner    rollout.OwnerElect
 }
 
-// maxHeldWindows bounds windows that wait for a link to the owner of a move.
-// A window holds running totals, so a lost one is made good by a later one.
-const maxHeldWindows = 16
+// maxHeld bounds messages that wait for a link. Windows hold running totals and
+// adoptions are sent again, so a lost message is made good by a later one.
+const maxHeld = 256
 
-// heldWindow waits for a link to its owner.
-type heldWindow struct {
-	to   string
-	body []byte
+// heldDirect waits for a link.
+type heldDirect struct {
+	to  string
+	msg Direct
 }
 
 // alarmRepeat is the least time between two notices of one alarm.
@@ -280,34 +280,45 @@
 	if err != nil {
 		panic("node: window does not encode: " + err.Error())
 	}
-	if l := n.peers.links[a.To]; l != nil {
+	return n.sendDirect(now, a.To, Direct{Topic: TopicSamples, Body: b})
+}
+
+// sendDirect sends a message to one daemon. Without a link it asks for one and
+// holds the message until the link is up.
+func (n *Node) sendDirect(now time.Time, to string, msg Direct) []Action {
+	if l := n.peers.links[to]; l != nil {
 		l.upAt = now // keeps a link that was opened for this
-		return []Action{SendPeer{To: a.To, Msg: Direct{Topic: TopicSamples, Body: b}}}
+		return []Action{SendPeer{To: to, Msg: msg}}
 	}
 	for _, m := range n.members.Live(now) {
-		if m.Name != a.To {
+		if m.Name != to {
 			continue
 		}
-		if len(n.heldWindows) == maxHeldWindows {
-			n.heldWindows = n.heldWindows[1:]
+		if len(n.held) == maxHeld {
+			n.held = n.held[1:]
 		}
-		n.heldWindows = append(n.heldWindows, heldWindow{to: a.To, body: b})
+		n.held = append(n.held, heldDirect{to: to, msg: msg})
 		return []Action{LinkPeer{Peer: m.Name, Address: m.Address, Once: true}}
 	}
 	return nil
 }
 
-// flushWindows sends what waited for a link.
-func (n *Node) flushWindows(peer string) []Action {
+// flushHeld sends what waited for a link.
+func (n *Node) flushHeld(peer string) []Action {
 	var out []Action
-	kept := n.heldWindows[:0]
-	for _, w := range n.heldWindows {
-		if w.to != peer {
-			kept = append(kept, w)
+	kept := n.held[:0]
+	for _, h := range n.held {
+		if h.to != peer {
+			kept = append(kept, h)
 			continue
 		}
-		out = append(out, SendPeer{To: peer, Msg: Direct{Topic: TopicSamples, Body: w.body}})
+		out = append(out, SendPeer{To: peer, Msg: h.msg})
 	}
-	n.heldWindows = kept
+	n.held = kept
 	return out
 }
+
+// adopted tells a daemon that another one continues its generation.
+func (n *Node) adopted(now time.Time, ev Adopted) []Action {
+	return n.sendDirect(now, ev.Daemon, Direct{Topic: TopicAdopted, Body: []byte(ev.Generation)})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 	movesListed bool
 	movers      map[string]*move
 	nextUsable  time.Time
-	heldWindows []heldWindow
+	held        []heldDirect
 	watches     map[string]*watch
 	watchSeq    uint64
 	// isElected is the choice of watchers, made again at electAt.
@@ -145,6 +145,8 @@
 		out = n.moveRead(now, ev)
 	case Sampled:
 		out = n.sampled(now, ev.Sample)
+	case Adopted:
+		out = n.adopted(now, ev)
 	case VMsListed:
 		out = n.vmsListed(now, ev)
 	case LoadReported:
--- a/node/peers.go
+++ b/node/peers.go
@@ -106,7 +106,7 @@
 	}
 	n.changed = true
 	out := []Action{Explain{Subject: "peer/" + name, Text: "linked to " + name + " in " + ev.Peer.DataCentre}}
-	out = append(out, n.flushWindows(name)...)
+	out = append(out, n.flushHeld(name)...)
 	return append(out, n.digest(now, name, l, true))
 }
 
--- a/plain/handler.go
+++ b/plain/handler.go
@@ -145,8 +145,14 @@
 	mu      sync.Mutex // guards rnd
 	rnd     *rand.Rand
 	settler settler
+	// stopped is set once new calls are refused.
+	stopped atomic.Bool
 }
 
+// StopNewCalls refuses calls from now on. The daemon calls it some time after it
+// reports that it is not ready, so that the balancer sends no calls in vain.
+func (h *Handler) StopNewCalls() { h.stopped.Store(true) }
+
 // New returns a handler. It panics when Snapshot, Store, Transport or Nonce is
 // missing, which is a programming error.
 func New(o Options) *Handler {
@@ -272,7 +278,7 @@
 	rest, ok := strings.CutPrefix(escaped, Prefix)
 	name, below, _ := strings.Cut(rest, "/")
 	snap := h.o.Snapshot()
-	if snap.Draining {
+	if h.stopped.Load() {
 		return no(http.StatusServiceUnavailable, codeDraining, "this daemon is shutting down", time.Second)
 	}
 	view := snap.Services[name]
--- a/plain/plain_test.go
+++ b/plain/plain_test.go
@@ -587,6 +587,9 @@
 		snap := *f.snap.Load()
 		snap.Draining = true
 		f.snap.Store(&snap)
+		// During the drain notice the balancer still sends calls.
+		Expect(f.must("GET", "/services/shop/catalogue/1", "").code).NotTo(Equal("draining"))
+		f.handler.StopNewCalls()
 		Expect(f.must("GET", "/services/shop/catalogue/1", "").code).To(Equal("draining"))
 	})
 })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,8 @@
 	Key string
 	// Lifetime is how long a caller may reconnect with a cursor.
 	Lifetime time.Duration
+	// AbandonGrace is how long the engine goes on for a caller that is gone.
+	AbandonGrace time.Duration
 }
 
 // Drain configures a graceful shutdown.
@@ -146,6 +148,8 @@
 	r.text(&s.Cursor.Key, "cursor", "key", "", `^.{16,256}$`, "Key that seals resume cursors, 16 to 256 characters, the same on all daemons. Required.")
 	r.duration(&s.Cursor.Lifetime, "cursor", "lifetime", 10*time.Minute, time.Second, 24*time.Hour, "How long a caller may reconnect with a cursor.")
 
+	r.duration(&s.Cursor.AbandonGrace, "cursor", "abandon_grace", 15*time.Second, 100*time.Millisecond, time.Hour, "How long a generation goes on for a caller that is gone and may reconnect.")
+
 	r.duration(&s.Drain.Notice, "drain", "notice", 2*time.Second, 0, 5*time.Minute, "Time between reporting not ready and closing the caller listener.")
 	r.duration(&s.Drain.Deadline, "drain", "deadline", 30*time.Second, 0, time.Hour, "Time for running requests to finish; later streams are handed over with a cursor.")
 
