membership: let heartbeats name the description that they belong to

Cause: node test 'finds the one daemon that reaches the store again' failed after probes became more frequent: a heartbeat by ID overtook the full description with the flag StoreDown; the flag then looked older than the heartbeat and was dropped, and d8 believed for 50 s that two daemons reached the store. Ruled out: the probes themselves (they only changed the order). Change: the ID covers the flags, so an overtaking heartbeat is unknown and the receiver asks for the description. After: go test ./node passes (26 s), go test -race ./scenario passes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -290,13 +290,14 @@
 func (d *Daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
+	// Before the loop, which may ask for links at once.
+	d.peers.Start(ctx, d.listeners.peers, d.loop.Post)
 	go func() {
 		defer close(d.done)
 		if err := d.loop.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 			d.log.Error("control loop ended", "cause", err)
 		}
 	}()
-	d.peers.Start(ctx, d.listeners.peers, d.loop.Post)
 	go d.serve(d.callers, d.listeners.callers)
 	go d.serve(d.operators, d.listeners.operators)
 	return nil
--- a/membership/members.go
+++ b/membership/members.go
@@ -40,10 +40,20 @@
 	return m.Incarnation > o.Incarnation || m.Incarnation == o.Incarnation && m.Heartbeat > o.Heartbeat
 }
 
-// ID identifies a member and its incarnation in heartbeats, where the name
-// would take most of the bytes.
+// ID identifies a member, its incarnation and its flags in heartbeats, where
+// the name would take most of the bytes. With the flags in it, a heartbeat that
+// overtakes the description that it belongs to is not known and makes the
+// receiver ask, in place of keeping an old description under a new heartbeat.
 func (m *Member) ID() uint32 {
-	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte(m.Name+"\x00"), m.Incarnation))
+	b := binary.BigEndian.AppendUint64([]byte(m.Name+"\x00"), m.Incarnation)
+	for _, flag := range []bool{m.StoreDown, m.Leaving} {
+		if flag {
+			b = append(b, 1)
+		} else {
+			b = append(b, 0)
+		}
+	}
+	sum := sha256.Sum256(b)
 	return binary.BigEndian.Uint32(sum[:4])
 }
 
@@ -134,7 +144,9 @@
 	}
 	s.Heartbeat++
 	m.cache = nil
+	delete(m.byID, s.ID())
 	s.Applied, s.StoreDown, s.Leaving, s.advancedAt = applied, storeDown, leaving, now
+	m.byID[s.ID()] = s.Name
 	m.live = len(m.Live(now))
 	m.cache = nil
 	m.beatAt = now.Add(m.Interval())
@@ -165,7 +177,7 @@
 	if !in.newerThan(&old.Member) {
 		return false
 	}
-	if in.Incarnation != old.Incarnation {
+	if in.ID() != old.ID() {
 		delete(m.byID, old.ID())
 		m.byID[in.ID()] = in.Name
 	}
