--- a/client/client.go
+++ b/client/client.go
@@ -52,6 +52,9 @@
 	Chat           bool
 	IdempotencyKey string
 	Timeout        time.Duration // sent as X-Request-Timeout-Ms; 0 sends none
+	// Drop closes the connection each time it yields a value; the client then
+	// goes on at the next daemon.
+	Drop <-chan struct{}
 }
 
 // Answer is what the caller received.
@@ -222,6 +225,13 @@
 	defer cancel()
 	watchdog := time.AfterFunc(s.c.o.Silence, cancel)
 	defer watchdog.Stop()
+	go func() {
+		select {
+		case <-s.request.Drop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	s.watchdog = watchdog
 	req, err := s.newRequest(ctx, addr)
 	if err != nil {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -249,16 +249,28 @@
 	for _, d := range strings.Split(args[2], ",") {
 		addresses = append(addresses, s.process(ts, d).ready["caller"])
 	}
-	r := &request{prompt: args[3], tokens: tokens, moved: make(chan struct{}), done: make(chan struct{})}
+	r := &request{prompt: args[3], tokens: tokens, drop: make(chan struct{}), moved: make(chan struct{}), done: make(chan struct{})}
 	s.requests[args[0]] = r
 	c := client.New(client.Options{Addresses: addresses, Key: accountKey, HoldText: true, OnToken: r.token})
 	go func() {
 		defer close(r.done)
 		defer c.Close()
-		r.answer, r.err = c.Complete(s.ctx, client.Request{Model: model, Prompt: r.prompt, MaxTokens: tokens})
+		r.answer, r.err = c.Complete(s.ctx, client.Request{Model: model, Prompt: r.prompt, MaxTokens: tokens, Drop: r.drop})
 	}()
 }
 
+// drop NAME closes the connection of a request; its caller goes on at the next
+// daemon.
+func cmdDrop(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "drop NAME")
+	r := of(ts).request(ts, args[0])
+	select {
+	case r.drop <- struct{}{}:
+	case <-r.done:
+		ts.Fatalf("the request %s has ended", args[0])
+	}
+}
+
 // reached NAME N waits until the request has received N tokens.
 func cmdReached(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 2, "reached NAME N")
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -46,6 +46,7 @@
 			"inforce":  cmdInForce,
 			"send":     cmdSend,
 			"reached":  cmdReached,
+			"drop":     cmdDrop,
 			"answer":   cmdAnswer,
 			"serving":  cmdServing,
 			"post":     cmdPost,
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -51,6 +51,7 @@
 	tokens int
 	mu     sync.Mutex
 	seen   int
+	drop   chan struct{}
 	moved  chan struct{} // closed and replaced at each token
 	done   chan struct{}
 	answer *client.Answer
