scenario: send only the cursor in the session of a caller that moves

Cause: with the caller's text returned, the answer goes on by continuation and the session passes without the message to the former daemon. Callers that return their cursor only depend on it.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -239,8 +239,14 @@
 }
 
 // send NAME TOKENS DAEMON[,DAEMON...] PROMPT starts a streamed request. The
-// caller goes to the daemons in this order when its connection breaks.
-func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
+// caller goes to the daemons in this order when its connection breaks, and
+// returns the text that it holds.
+func cmdSend(ts *testscript.TestScript, neg bool, args []string) { send(ts, neg, args, true) }
+
+// sendcursor does the same for a caller that returns its cursor only.
+func cmdSendCursor(ts *testscript.TestScript, neg bool, args []string) { send(ts, neg, args, false) }
+
+func send(ts *testscript.TestScript, neg bool, args []string, holdText bool) {
 	need(ts, neg, args, 4, "send NAME TOKENS DAEMON[,DAEMON...] PROMPT")
 	s := of(ts)
 	tokens, err := strconv.Atoi(args[1])
@@ -251,7 +257,7 @@
 	}
 	r := &request{prompt: args[3], tokens: tokens, drop: make(chan struct{}), moved: make(chan struct{}), done: make(chan struct{})}
 	s.requests[args[0]] = r
-	c := client.New(client.Options{Addresses: addresses, Key: accountKey, HoldText: true, OnToken: r.token})
+	c := client.New(client.Options{Addresses: addresses, Key: accountKey, HoldText: holdText, OnToken: r.token})
 	go func() {
 		defer close(r.done)
 		defer c.Close()
