entry: let answers without cursors end after the drain deadline

Change: only streams are handed over at the deadline; other answers run to their end, bounded by the service's time limit. A second signal cuts them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -318,6 +318,7 @@
 	d.plain.StopNewCalls()
 	drain, cancel := context.WithTimeout(ctx, d.settings.Drain.Deadline)
 	defer cancel()
+	defer context.AfterFunc(ctx, d.entry.Cut)()
 	d.entry.Drain(drain)
 	// Plain calls end by themselves within their route's timeout.
 	if err := d.callers.Shutdown(drain); err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -221,7 +221,8 @@
 
 // Drain refuses new work and returns once nothing runs. When ctx ends first,
 // it ends the streams that are left with a cursor, so that their callers
-// continue at other daemons.
+// continue at other daemons. Answers that are not streamed have no cursor and
+// run to their end, which the service's time limit bounds, or until Cut.
 func (e *Entry) Drain(ctx context.Context) {
 	e.mu.Lock()
 	if !e.draining.Swap(true) && len(e.generations) == 0 {
@@ -233,12 +234,22 @@
 		return
 	case <-ctx.Done():
 	}
+	e.end(func(g *generation) bool { return g.call.stream })
+	<-e.idle
+}
+
+// Cut ends everything that still runs: streams with a cursor, other answers
+// with a refusal. It makes a running Drain return.
+func (e *Entry) Cut() { e.end(func(*generation) bool { return true }) }
+
+func (e *Entry) end(which func(*generation) bool) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, g := range e.generations {
-		g.endSoon()
+		if which(g) {
+			g.endSoon()
+		}
 	}
-	e.mu.Unlock()
-	<-e.idle
 }
 
 // Running returns the number of requests that run.
