--- a/cli/service.go
+++ b/cli/service.go
@@ -93,7 +93,7 @@
 
 	explain := app.Command("explain", "Print what a daemon did and why, oldest first.")
 	common(explain)
-	subject := explain.Arg("subject", "Only events of service/NAME, upstream/ADDRESS, peer/NAME or store.").String()
+	subject := explain.Arg("subject", "Only events of service/NAME, move/NAME, upstream/ADDRESS, peer/NAME or store.").String()
 
 	return map[string]func(env) error{
 		apply.FullCommand():    func(e env) error { return c.apply(e, *file, *revision) },
--- a/operator/read.go
+++ b/operator/read.go
@@ -244,7 +244,7 @@
 		}
 	}
 	if v != nil && b.MovePhase != "" && v.Move.Text != "" {
-		out = append(out, "The move: "+v.Move.Text+".")
+		out = append(out, v.Move.Text)
 	}
 	if r := b.Rejected; r != nil {
 		out = append(out, fmt.Sprintf("Revision %d has mistakes and takes no effect:", r.Revision))
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +23,10 @@
 // errRefused reports that the other side closed the link in the handshake.
 var errRefused = eris.New("the other daemon refused the link")
 
+// errWrongKey reports a daemon of another fleet, or one whose settings have
+// another key than this one's.
+var errWrongKey = errors.New("the other daemon does not hold the key of this fleet; compare [peers] key in both settings")
+
 // proof answers both nonces. The role keeps an answer of one side from being
 // sent back as the answer of the other, and the names keep it from serving in
 // another pair's handshake.
@@ -82,7 +87,7 @@
 		return membership.Member{}, err
 	}
 	if !hmac.Equal(theirs.GetProof(), proof(key, "listener", mine.Nonce, theirs.Nonce, mine.Member, theirs.Member)) {
-		return membership.Member{}, eris.New("the other daemon does not hold the key")
+		return membership.Member{}, errWrongKey
 	}
 	answer := &peerpb.Hello{Protocol: protocol, Proof: proof(key, "dialer", mine.Nonce, theirs.Nonce, mine.Member, theirs.Member)}
 	if _, err := writeFrame(c, answer); err != nil {
@@ -111,7 +116,7 @@
 		return membership.Member{}, err
 	}
 	if !hmac.Equal(answer.GetProof(), proof(key, "dialer", theirs.Nonce, mine.Nonce, theirs.Member, mine.Member)) {
-		return membership.Member{}, eris.New("the other daemon does not hold the key")
+		return membership.Member{}, errWrongKey
 	}
 	return memberFromProto(theirs.Member), nil
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -149,6 +149,16 @@
 	}()
 }
 
+// linkFailed logs a link that did not come up. Failures are common while
+// daemons come and go, but a wrong key needs an operator.
+func (t *Transport) linkFailed(msg string, err error, args ...any) {
+	log := t.log.Debug
+	if errors.Is(err, errWrongKey) {
+		log = t.log.Warn
+	}
+	log(msg, append(args, "cause", err.Error())...)
+}
+
 func (t *Transport) accept(ctx context.Context, ln net.Listener) {
 	for {
 		c, err := ln.Accept()
@@ -157,7 +167,7 @@
 				return
 			}
 			// Out of file descriptors, say.
-			t.log.Warn("a link could not be accepted", "cause", err)
+			t.log.Warn("a link could not be accepted", "cause", err.Error())
 			if !pause(ctx, 100*time.Millisecond) {
 				return
 			}
@@ -165,7 +175,7 @@
 		}
 		t.spawn(func() {
 			if err := t.serve(ctx, c, false, ""); err != nil && ctx.Err() == nil {
-				t.log.Debug("a link was refused", "address", c.RemoteAddr().String(), "cause", err)
+				t.linkFailed("a link was refused", err, "address", c.RemoteAddr().String())
 			}
 		})
 	}
@@ -187,7 +197,7 @@
 	if a.Once {
 		t.spawn(func() {
 			if err := t.dial(t.ctx, a.Peer, a.Address); err != nil {
-				t.log.Debug("a probe failed", "peer", a.Peer, "address", a.Address, "cause", err)
+				t.linkFailed("a probe failed", err, "peer", a.Peer, "address", a.Address)
 			}
 		})
 		return
@@ -250,7 +260,7 @@
 				failures = 0
 			}
 			if err != nil {
-				t.log.Info("a peer could not be linked", "peer", peer, "address", addr, "cause", err)
+				t.log.Info("a peer could not be linked", "peer", peer, "address", addr, "cause", err.Error())
 				t.deliver(node.LinkFailed{Peer: peer})
 			}
 			failures++
@@ -342,7 +352,7 @@
 	t.spawn(func() { t.write(s, stream) })
 	err = t.read(s, stream)
 	_ = s.mux.Close()
-	t.log.Debug("a link ended", "peer", s.peer.Name, "cause", err)
+	t.log.Debug("a link ended", "peer", s.peer.Name, "cause", err.Error())
 	t.remove(ctx, s)
 	return nil
 }
@@ -372,7 +382,7 @@
 		case m := <-s.queue:
 			p, err := encode(m)
 			if err != nil {
-				t.log.Error("a message could not be sent", "peer", s.peer.Name, "cause", err)
+				t.log.Error("a message could not be sent", "peer", s.peer.Name, "cause", err.Error())
 				continue
 			}
 			if _, err := writeFrame(stream, p); err != nil {
