--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -320,12 +320,13 @@
 	defer cancel()
 	defer context.AfterFunc(ctx, d.entry.Cut)()
 	d.entry.Drain(drain)
-	// Plain calls end by themselves within their route's timeout.
-	if err := d.callers.Shutdown(drain); err != nil {
-		d.log.Warn("plain calls still ran at the drain deadline", "cause", err)
+	// Plain calls end by themselves within their route's timeout, so only a
+	// second signal cuts them.
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.Warn("plain calls were cut by a second signal", "cause", err)
 	}
-	if err := d.plain.Drain(drain); err != nil {
-		d.log.Warn("claims were not settled before the drain deadline", "cause", err)
+	if err := d.plain.Drain(ctx); err != nil {
+		d.log.Warn("claims were left unsettled by a second signal", "cause", err)
 	}
 	d.close()
 	return nil
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -337,6 +337,46 @@
 // post DAEMON PATH KEY BODY sends a non-idempotent call and prints its answer.
 func cmdPost(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 4, "post DAEMON PATH KEY BODY")
+	fmt.Fprintln(ts.Stdout(), post(ts, args))
+}
+
+// postasync NAME DAEMON PATH KEY BODY does the same beside the script; posted
+// NAME waits for the answer and prints it.
+func cmdPostAsync(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 5, "postasync NAME DAEMON PATH KEY BODY")
+	line := make(chan string, 1)
+	of(ts).posts[args[0]] = line
+	go func() { line <- post(ts, args[1:]) }()
+}
+
+func cmdPosted(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "posted NAME")
+	fmt.Fprintln(ts.Stdout(), <-of(ts).posts[args[0]])
+}
+
+// calls NAME N waits until N non-idempotent calls have reached a plain service.
+func cmdCalls(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "calls NAME N")
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	s := of(ts)
+	for deadline := time.Now().Add(readyTimeout); ; {
+		_, reply := do(ts, http.MethodGet, "http://"+s.process(ts, args[0]).ready["control"]+"/control/stats", "", nil)
+		var body struct {
+			Waiting int `json:"waiting"`
+		}
+		ts.Check(json.Unmarshal([]byte(reply), &body))
+		if body.Waiting >= want {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s has %d calls waiting instead of %d", args[0], body.Waiting, want)
+		}
+		pause(s.ctx, 5*time.Millisecond)
+	}
+}
+
+func post(ts *testscript.TestScript, args []string) string {
 	header := map[string]string{"Authorization": "Bearer " + accountKey}
 	if args[2] != "-" {
 		header["Idempotency-Key"] = args[2]
@@ -350,7 +390,7 @@
 	if refusal.Error.Code != "" {
 		line += " " + refusal.Error.Code + " " + refusal.Error.Outcome
 	}
-	fmt.Fprintln(ts.Stdout(), line)
+	return line
 }
 
 // runs NAME... prints how often each non-idempotent call ran at the plain
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -34,6 +34,7 @@
 	env       *testscript.Env
 	processes map[string]*process
 	requests  map[string]*request
+	posts     map[string]chan string
 	ctx       context.Context
 	cancel    context.CancelFunc
 }
@@ -60,7 +61,7 @@
 
 func newSession(e *testscript.Env) *session {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &session{env: e, processes: map[string]*process{}, requests: map[string]*request{}, ctx: ctx, cancel: cancel}
+	return &session{env: e, processes: map[string]*process{}, requests: map[string]*request{}, posts: map[string]chan string{}, ctx: ctx, cancel: cancel}
 }
 
 func of(ts *testscript.TestScript) *session { return ts.Value(sessionKey{}).(*session) }
--- a/standin/service.go
+++ b/standin/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -150,6 +151,8 @@
 	mu     sync.Mutex
 	faults ServiceFaults
 	calls  int64
+	// waiting counts POST calls that were accepted and have not been answered.
+	waiting atomic.Int64
 }
 
 // StartService starts a stand-in service. It runs until Close or the end of
@@ -286,6 +289,10 @@
 		return
 	}
 	// A call that has arrived runs even when its caller has gone.
+	if c.Request.Method == http.MethodPost {
+		s.waiting.Add(1)
+		defer s.waiting.Add(-1)
+	}
 	if !delay(context.WithoutCancel(ctx), time.Duration(f.DelayBefore)) {
 		return
 	}
@@ -320,7 +327,7 @@
 func (s *Service) controlRoutes(r gin.IRouter) {
 	ok := func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"ok": true}) }
 	r.GET("/stats", func(c *gin.Context) {
-		c.JSON(http.StatusOK, gin.H{"calls": s.Calls(), "runs": s.o.Runs.All(), "repeated": s.o.Runs.Repeated()})
+		c.JSON(http.StatusOK, gin.H{"calls": s.Calls(), "waiting": s.waiting.Load(), "runs": s.o.Runs.All(), "repeated": s.o.Runs.Repeated()})
 	})
 	r.POST("/faults", func(c *gin.Context) {
 		var f ServiceFaults
