--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -348,6 +348,15 @@
 			begin("c", "p", 10000, "")
 			Expect(status("d")).To(Equal(500))
 		})
+		// Guards against a version that is bad on one route only and fails all.
+		It("leaves the other route alone", func() {
+			start(bad(standin.BadVersion{Mode: standin.BadFails, Route: standin.RouteChat}))
+			Expect(status("a")).To(Equal(200))
+			res, err := send(http.MethodPost, "/v1/completions", "b", `{"model":"model","messages":[{"role":"user","content":"p"}],"max_tokens":1}`)
+			Expect(err).NotTo(HaveOccurred())
+			res.Body.Close()
+			Expect(res.StatusCode).To(Equal(500))
+		})
 		It("leaves other versions alone", func() {
 			start(bad(standin.BadVersion{Mode: standin.BadFails}))
 			Expect(status("a")).To(Equal(500))
