--- a/modules/engine/completions/completions.go
+++ b/modules/engine/completions/completions.go
@@ -20,6 +20,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/kernel"
+	"github.com/gooseberryroad/gooseberryroad/sse"
 )
 
 // ID is the module ID of this driver.
@@ -74,8 +75,8 @@
 			DisableCompression:    true,
 			// A daemon holds one connection for each generation, and a token
 			// is about 100 bytes on the wire.
-			ReadBufferSize:      readerBytes,
-			WriteBufferSize:     readerBytes,
+			ReadBufferSize:      sse.ReaderBytes,
+			WriteBufferSize:     sse.ReaderBytes,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     30 * time.Second,
 		}
@@ -172,7 +173,7 @@
 		cancel()
 		return nil, err
 	}
-	return &stream{cancel: cancel, body: res.Body, events: newEventReader(res.Body), next: next}, nil
+	return &stream{cancel: cancel, body: res.Body, events: sse.NewReader(res.Body), next: next}, nil
 }
 
 // Cancel implements engine.Client.
@@ -333,7 +334,7 @@
 type stream struct {
 	cancel   context.CancelFunc
 	body     io.ReadCloser
-	events   *eventReader
+	events   *sse.Reader
 	next     int
 	finished string
 	err      error
@@ -372,7 +373,7 @@
 }
 
 func (s *stream) read() (chunk, error) {
-	ev, err := s.events.next()
+	ev, err := s.events.Next()
 	if err != nil {
 		if errors.Is(err, context.Canceled) {
 			return chunk{}, errClosed
--- a/modules/engine/completions/fuzz_test.go
+++ b/modules/engine/completions/fuzz_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/gooseberryroad/gooseberryroad/engine"
+	"github.com/gooseberryroad/gooseberryroad/sse"
 )
 
 // FuzzEventStream guards against panics, endless loops and unbounded memory on
@@ -15,17 +16,17 @@
 	f.Add([]byte("id\r\ndata:\r\n\r\n:\n\n\ndata: {\"error\":{}}\n\n"))
 	f.Add([]byte("event: x\nid: -1\ndata: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r := newEventReader(bytes.NewReader(b))
+		r := sse.NewReader(bytes.NewReader(b))
 		for events := 0; ; events++ {
-			ev, err := r.next()
+			ev, err := r.Next()
 			if err != nil {
 				break
 			}
 			if events > len(b) {
 				t.Fatal("more events than bytes")
 			}
-			if len(ev.data) > maxLineBytes {
-				t.Fatalf("event of %d bytes", len(ev.data))
+			if len(ev.Data) > sse.MaxLineBytes {
+				t.Fatalf("event of %d bytes", len(ev.Data))
 			}
 			c, err := parseChunk(ev)
 			if err == nil && c.hasToken && (c.text == "" || c.index < 0) {
@@ -40,18 +41,18 @@
 func FuzzEventReaderSplits(f *testing.F) {
 	f.Add([]byte("id: 0\r\ndata: a\r\n\r\ndata: b\ndata: c\n\n"), uint8(1))
 	f.Fuzz(func(t *testing.T, b []byte, size uint8) {
-		whole := newEventReader(bytes.NewReader(b))
-		parts := newEventReader(&slowReader{r: bytes.NewReader(b), size: int(size) + 1})
+		whole := sse.NewReader(bytes.NewReader(b))
+		parts := sse.NewReader(&slowReader{r: bytes.NewReader(b), size: int(size) + 1})
 		for {
-			a, errA := whole.next()
-			c, errC := parts.next()
+			a, errA := whole.Next()
+			c, errC := parts.Next()
 			if (errA == nil) != (errC == nil) {
 				t.Fatalf("%v and %v", errA, errC)
 			}
 			if errA != nil {
 				return
 			}
-			if a.id != c.id || a.name != c.name || !bytes.Equal(a.data, c.data) {
+			if a.ID != c.ID || a.Name != c.Name || !bytes.Equal(a.Data, c.Data) {
 				t.Fatalf("%+v and %+v", a, c)
 			}
 		}
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -9,9 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxLineBytes bounds one line of an event stream. A token is a few bytes; an
+// MaxLineBytes bounds one line of an event stream. A token is a few bytes; an
 // engine that sends more than this without a line end is broken.
-const maxLineBytes = 64 << 10
+const MaxLineBytes = 64 << 10
 
 // Event is one server-sent event.
 type Event struct {
@@ -30,13 +30,13 @@
 	data []byte
 }
 
-// readerBytes is the size of the buffer of one stream. It is small because a
+// ReaderBytes is the size of the buffer of one stream. It is small because a
 // daemon holds one for each generation.
-const readerBytes = 2 << 10
+const ReaderBytes = 2 << 10
 
 // NewReader returns a reader of the stream r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, readerBytes)}
+	return &Reader{r: bufio.NewReaderSize(r, ReaderBytes)}
 }
 
 // Next returns the next event that has data. It returns io.ErrUnexpectedEOF
@@ -70,8 +70,8 @@
 			if hasData {
 				e.data = append(e.data, '\n')
 			}
-			if len(e.data)+len(value) > maxLineBytes {
-				return Event{}, eris.Errorf("event is longer than %d bytes", maxLineBytes)
+			if len(e.data)+len(value) > MaxLineBytes {
+				return Event{}, eris.Errorf("event is longer than %d bytes", MaxLineBytes)
 			}
 			e.data = append(e.data, value...)
 			hasData = true
@@ -84,8 +84,8 @@
 	e.line = e.line[:0]
 	for {
 		part, err := e.r.ReadSlice('\n')
-		if len(e.line)+len(part) > maxLineBytes {
-			return nil, eris.Errorf("line of the event stream is longer than %d bytes", maxLineBytes)
+		if len(e.line)+len(part) > MaxLineBytes {
+			return nil, eris.Errorf("line of the event stream is longer than %d bytes", MaxLineBytes)
 		}
 		switch err {
 		case nil:
