Refuse requests that crash engines

A request whose content crashes each engine that runs it took four engines down each time that it was sent, because package quarantine was not wired.

The node owns a quarantine.State. A broken connection counts as a crash once an upstream is dead or has a new incarnation; a report of the same incarnation 500 ms later, or 3 s without either, ends the trial without a verdict. Notices travel as TopicQuarantine, at most 16 crashes in 10 s from one daemon; a new peer gets the verdicts. Entry refuses quarantined requests with 422 before admission, runs suspects where the node grants a trial, and ends continuations with may_have_run.

The first continuation after a loss goes on without a trial, on an engine without another such request of the daemon where there is one. Putting all suspects on trial was ruled out: a trial waits at least 100 ms, and an engine takes one at a time, so the innocent requests of one lost engine would wait for each other. The bound is 2c+1 engines instead of c+1, 3 for a caller that waits for each failure; the scenario script quarantine checks this with four engines. A crash now proves nothing about a trial beside which an untried request ran that was in flight at another crash too.

Not in this change: plain services, and the field Poison of samples.

--- a/control/loop.go
+++ b/control/loop.go
@@ -15,6 +15,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/vmlist"
 )
@@ -81,6 +82,11 @@
 	// watches is used by the loop's goroutine only.
 	watches map[string]*openWatch
 
+	// trials are the replies to trials that were asked for, by ID.
+	trialsMu sync.Mutex
+	trials   map[uint64]func(node.TrialAnswered)
+	trialSeq uint64
+
 	changedMu sync.Mutex
 	changed   chan struct{}
 
@@ -114,7 +120,7 @@
 		o: o, log: o.Logger.With("part", "control"), node: node.New(o.Node),
 		queue: make(chan node.Event, o.QueueSize), events: NewRing(1024),
 		polls: make(chan struct{}, o.MaxPolls), watches: map[string]*openWatch{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), trials: map[uint64]func(node.TrialAnswered){},
 		dropped: o.Metrics.GetOrCreateCounter("gooseberryroad_control_events_dropped_total"),
 		steps:   o.Metrics.GetOrCreateCounter("gooseberryroad_control_events_total"),
 		actions: o.Metrics.GetOrCreateCounter("gooseberryroad_control_actions_total"),
@@ -138,6 +144,24 @@
 	}
 }
 
+// RequestTrial asks on which of the upstreams, by address, a suspect may run.
+// The control goroutine calls reply, which must not block. It is never called
+// when the request finds the queue full, and RequestTrial returns false.
+func (l *Loop) RequestTrial(h quarantine.Hash, candidates []string, reply func(node.TrialAnswered)) bool {
+	l.trialsMu.Lock()
+	l.trialSeq++
+	id := l.trialSeq
+	l.trials[id] = reply
+	l.trialsMu.Unlock()
+	if l.Post(node.TrialRequested{ID: id, Hash: h, Candidates: candidates}) {
+		return true
+	}
+	l.trialsMu.Lock()
+	defer l.trialsMu.Unlock()
+	delete(l.trials, id)
+	return false
+}
+
 // Snapshot returns the current view. It is safe for concurrent use.
 func (l *Loop) Snapshot() *node.Snapshot { return l.snap.Load() }
 
@@ -226,6 +250,14 @@
 		if l.o.Received != nil {
 			l.o.Received(a)
 		}
+	case node.TrialAnswered:
+		l.trialsMu.Lock()
+		reply := l.trials[a.ID]
+		delete(l.trials, a.ID)
+		l.trialsMu.Unlock()
+		if reply != nil {
+			reply(a)
+		}
 	case node.WriteStore:
 		l.spawn(func() { l.write(ctx, a) })
 	case node.ReadStore:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -224,6 +224,7 @@
 		Seed:           n,
 		HeldBytes:      s.Memory.HeldBytes,
 		Report:         reporter{loop}.generation,
+		Quarantine:     reporter{loop},
 		Tracer:         otel.GetTracerProvider(),
 	}), nil
 }
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -8,6 +8,7 @@
 	"github.com/gooseberryroad/gooseberryroad/entry"
 	"github.com/gooseberryroad/gooseberryroad/node"
 	"github.com/gooseberryroad/gooseberryroad/plain"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 )
 
 // reporter turns what traffic saw into events for the control goroutine.
@@ -75,6 +76,26 @@
 	}})
 }
 
+// Lost asks for a load poll. The request counts as in flight at a crash if the
+// poll finds that the engine died.
+func (r reporter) Lost(service, upstream, incarnation string, h quarantine.Hash) {
+	r.loop.Post(node.Crash{Service: service, Upstream: upstream, Incarnation: incarnation, At: time.Now(), InFlight: []quarantine.Hash{h}})
+}
+
+// Ran reports the completion of a suspect.
+func (r reporter) Ran(h quarantine.Hash) { r.loop.Post(node.Ran{Hash: h}) }
+
+// TrialEnded reports a trial that proved nothing.
+func (r reporter) TrialEnded(h quarantine.Hash) { r.loop.Post(node.TrialEnded{Hash: h}) }
+
+// Refused reports the arrival of a quarantined request.
+func (r reporter) Refused(h quarantine.Hash) { r.loop.Post(node.RefusedQuarantined{Hash: h}) }
+
+// RequestTrial asks where a suspect may run.
+func (r reporter) RequestTrial(h quarantine.Hash, candidates []string, reply func(node.TrialAnswered)) bool {
+	return r.loop.RequestTrial(h, candidates, reply)
+}
+
 func (r reporter) view(service, upstream string) *node.UpstreamView {
 	if v := r.loop.Snapshot().Services[service]; v != nil {
 		return v.Upstream(upstream)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,9 @@
 	RetryShare float64
 	RetryBurst int
 	Tracer     trace.TracerProvider
+	// Quarantine keeps requests that crash engines from running again; nil for
+	// none.
+	Quarantine Quarantine
 }
 
 // Result describes one attempt at one upstream.
@@ -116,6 +119,8 @@
 	draining atomic.Bool
 	held     heldBytes
 	inflight attemptCounts
+	// suspects counts requests that lost an engine and run without a trial.
+	suspects attemptCounts
 	gates    gates
 	avoided  avoided
 	pacer    pacer
@@ -165,6 +170,7 @@
 	}
 	e.held.accounts = map[string]int64{}
 	e.inflight.n = map[string]int{}
+	e.suspects.n = map[string]int{}
 	e.gates = gates{e: e, by: map[string]*gate{}}
 	e.avoided.until = map[string]time.Time{}
 	e.pacer = pacer{e: e, p: recovery.NewPacer(o.Now(), o.Pacer), waiting: map[uint64]chan<- struct{}{}}
@@ -349,6 +355,17 @@
 	return f.n[upstream]
 }
 
+// names returns the upstreams with attempts, with those given.
+func (f *attemptCounts) names(exclude []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := exclude
+	for name := range f.n {
+		names = append(names[:len(names):len(names)], name)
+	}
+	return names
+}
+
 // avoidFor is how long an upstream that lost an attempt of this daemon is
 // avoided by its other requests: the reports that show its state come later.
 const avoidFor = 2 * time.Second
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -30,6 +30,7 @@
 	paused  bool          // accepts connections and answers nothing
 	refusal *engine.RefusedError
 	muted   int // connections up to this number give nothing more
+	cut     int // connections up to this number are broken
 	conns   int
 	dials   int // calls of Start, answered or not
 	running map[string]*fakeGeneration
@@ -171,6 +172,10 @@
 	for {
 		s.e.mu.Lock()
 		g, changed := s.e.running[s.id], s.e.changed
+		if s.number <= s.e.cut {
+			s.e.mu.Unlock()
+			return engine.Token{}, errBroken
+		}
 		silent := s.e.paused || s.number <= s.e.muted
 		allowed := s.e.allowed
 		version := s.e.version
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberryroad/gooseberryroad/cursor"
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/recovery"
 	"github.com/gooseberryroad/gooseberryroad/routing"
 )
@@ -50,6 +51,7 @@
 	moves            int                        // at the last Place
 	place            recovery.Place             // the last one
 	choice           routing.Choice             // the last one
+	trial            trial
 	queue            trace.Span
 	snap             *node.Snapshot
 	stalled          bool
@@ -79,6 +81,8 @@
 	tokens      int
 	status      int // of the engine's refusal, 0 if it did not refuse
 	held        *holding
+	broke       bool // the connection broke while the request ran
+	notRun      bool // no connection was made
 }
 
 // outcome is that of an attempt that another one follows.
@@ -113,6 +117,9 @@
 		return
 	}
 	cl, r := e.parse(c, rt)
+	if r == nil {
+		r = e.quarantinedOnArrival(cl)
+	}
 	if r != nil {
 		deny(*r)
 		return
@@ -134,6 +141,8 @@
 		events: make(chan recovery.Event, eventBuffer), turn: make(chan struct{}, 1), handOver: make(chan struct{}, 1), adoptedElsewhere: make(chan struct{}, 1),
 		conns: map[int]context.CancelFunc{}, tries: map[int]*try{}, queue: trace.SpanFromContext(context.Background()), began: e.o.Now(),
 	}
+	g.trial.answers = make(chan node.TrialAnswered, 1)
+	g.trial.suspect = cl.cursor == nil && e.o.Quarantine != nil && e.verdict(cl) != quarantine.Clear
 	if cl.cursor != nil {
 		g.generation = cl.cursor.Generation
 		g.lineage = cl.cursor.Generation + "-" + g.lineage
@@ -264,6 +273,7 @@
 func (g *generation) end(t *try, outcome string) {
 	delete(g.tries, t.number)
 	g.e.inflight.add(t.upstream, -1)
+	g.endTrial(t, outcome)
 	g.e.gates.drop(t.held)
 	t.span.SetAttributes(attribute.String("outcome", outcome), attribute.Int("tokens", t.tokens))
 	t.span.End()
@@ -291,6 +301,9 @@
 		if at, ok := g.machine.NextTimer(); ok {
 			wait = min(wait, at.Sub(g.e.o.Now()))
 		}
+		if g.trial.attempt != 0 {
+			wait = min(wait, g.trial.askAt.Sub(g.e.o.Now()))
+		}
 		events := g.events
 		if !g.full.IsZero() {
 			// The silence of a connection that is not read means nothing.
@@ -315,6 +328,8 @@
 			}
 		case <-g.turn:
 			g.choose()
+		case a := <-g.trial.answers:
+			g.trialAnswered(a)
 		case <-g.adoptedElsewhere:
 			g.step(recovery.HandOver{})
 			g.gone = true
@@ -341,6 +356,7 @@
 			}
 		}
 		g.observeUpstream()
+		g.tickTrial()
 		g.observeMachine()
 	}
 }
@@ -358,6 +374,11 @@
 		if t := g.tries[ev.Attempt]; t != nil {
 			t.last = g.e.o.Now()
 			t.held.produced()
+			if t.broke {
+				// A new connection continues the attempt: the engine lives.
+				t.broke = false
+				g.trial.losses--
+			}
 			if t.tokens++; t.tokens == 1 {
 				t.first = t.last
 			}
@@ -366,6 +387,12 @@
 		if t := g.tries[ev.Attempt]; t != nil {
 			t.status = ev.Status
 		}
+	case recovery.Broken:
+		if t := g.tries[ev.Attempt]; t != nil && ev.NotRun {
+			t.notRun = true
+		} else if g.conns[ev.Conn] != nil {
+			g.broke(ev.Attempt)
+		}
 	}
 	g.step(ev)
 }
@@ -512,6 +539,10 @@
 // choose answers the last Place.
 func (g *generation) choose() {
 	p := g.place
+	if g.onTrial() {
+		g.askTrial()
+		return
+	}
 	view := g.e.o.Snapshot().Services[g.call.view.Doc.Name]
 	if view == nil {
 		g.step(recovery.NoUpstream{Attempt: p.Attempt, VersionGone: true})
@@ -523,7 +554,18 @@
 	}
 	full := g.e.gates.full(g.call, p.Recovery)
 	r.Exclude = append(slices.Clone(r.Exclude), full...)
-	c, ok := routing.Pick(g.rnd, view, r)
+	var c routing.Choice
+	var ok bool
+	if g.trial.losses > 0 {
+		// Each request that lost an engine goes to another one, as long as there
+		// are any, so that a second loss tells them apart.
+		apart := r
+		apart.Exclude = g.e.suspects.names(r.Exclude)
+		c, ok = routing.Pick(g.rnd, view, apart)
+	}
+	if !ok {
+		c, ok = routing.Pick(g.rnd, view, r)
+	}
 	if !ok && len(r.Exclude) > len(p.Exclude)+len(full) {
 		r.Exclude = append(slices.Clone(p.Exclude), full...)
 		c, ok = routing.Pick(g.rnd, view, r)
@@ -552,6 +594,10 @@
 		g.end(old, old.outcome())
 	}
 	g.begin(t)
+	if g.trial.losses > 0 && g.trial.running != t.number {
+		g.trial.crowd = t.upstream
+		g.e.suspects.add(t.upstream, 1)
+	}
 	r := g.call.base
 	r.ID, r.Version, r.Prefix, r.PrefixTokens, r.Priority = t.engineID, a.Version, a.Prefix, a.PrefixTokens, a.Priority
 	carrier := propagation.MapCarrier{}
@@ -705,6 +751,7 @@
 
 // close ends all connections and accounts.
 func (g *generation) close() {
+	g.closeTrials()
 	for _, cancel := range g.conns {
 		cancel()
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -18,6 +18,7 @@
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/recovery"
 )
 
@@ -75,10 +76,12 @@
 	base        engine.Request
 	promptBytes int
 	bodyHash    [16]byte
-	deadline    time.Time
-	cursor      *cursor.Cursor
-	text        string
-	haveText    bool
+	// content identifies the request to the quarantine.
+	content  quarantine.Hash
+	deadline time.Time
+	cursor   *cursor.Cursor
+	text     string
+	haveText bool
 }
 
 type requestBody struct {
@@ -180,6 +183,7 @@
 	if out.bodyHash, err = hashBody(rt, raw); err != nil {
 		return nil, bad(http.StatusBadRequest, "bad_body", "the body is not a JSON object")
 	}
+	out.content = quarantine.HashOf(doc.Name, string(rt), out.bodyHash[:])
 	if id := c.GetHeader("Last-Event-ID"); id != "" {
 		return out, e.reattach(out, now, id, b.DeliveredText)
 	}
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -247,6 +247,7 @@
 
 func failRefusal(f recovery.Fail) refusal {
 	messages := map[string]string{
+		codeQuarantined:             quarantinedMessage,
 		recovery.CodeNoUpstream:     "no engine is available",
 		recovery.CodeVersionGone:    "no engine of the answer's version is left to continue it",
 		recovery.CodeRetryBudget:    "engines are overloaded; the retry budget is used up",
--- a/node/events.go
+++ b/node/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/rollout"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/vmlist"
@@ -72,9 +73,27 @@
 	Service, Upstream, Incarnation string
 	At                             time.Time
 	// InFlight are the content hashes of the requests that ran there.
-	InFlight []string
+	InFlight []quarantine.Hash
 }
 
+// Ran reports that a request completed that was a suspect or lost an engine.
+type Ran struct{ Hash quarantine.Hash }
+
+// TrialRequested asks for an upstream on which a suspect may run. The answer is
+// TrialAnswered with the same ID.
+type TrialRequested struct {
+	ID   uint64
+	Hash quarantine.Hash
+	// Candidates are the addresses of upstreams that could run the request.
+	Candidates []string
+}
+
+// TrialEnded reports that a trial ended without completion or crash.
+type TrialEnded struct{ Hash quarantine.Hash }
+
+// RefusedQuarantined reports that a quarantined request was sent again.
+type RefusedQuarantined struct{ Hash quarantine.Hash }
+
 // Sampled is what traffic observed of one finished or failed request.
 type Sampled struct {
 	Sample Sample
@@ -92,16 +111,20 @@
 // TickInterval is the resolution of the node's timers.
 const TickInterval = 100 * time.Millisecond
 
-func (StoreListed) event()     {}
-func (StoreWrote) event()      {}
-func (StoreRead) event()       {}
-func (VMsListed) event()       {}
-func (LoadReported) event()    {}
-func (UpstreamRefused) event() {}
-func (Crash) event()           {}
-func (Sampled) event()         {}
-func (Drain) event()           {}
-func (Tick) event()            {}
+func (StoreListed) event()        {}
+func (StoreWrote) event()         {}
+func (StoreRead) event()          {}
+func (VMsListed) event()          {}
+func (LoadReported) event()       {}
+func (UpstreamRefused) event()    {}
+func (Crash) event()              {}
+func (Sampled) event()            {}
+func (Ran) event()                {}
+func (TrialRequested) event()     {}
+func (TrialEnded) event()         {}
+func (RefusedQuarantined) event() {}
+func (Drain) event()              {}
+func (Tick) event()               {}
 
 // Action is an output of a node.
 type Action interface{ action() }
@@ -138,19 +161,30 @@
 // ListVMs asks for the list of VMs and a VMsListed event.
 type ListVMs struct{}
 
+// TrialAnswered answers TrialRequested.
+type TrialAnswered struct {
+	ID      uint64
+	Verdict quarantine.Verdict
+	// Address is the upstream on which the trial starts now. It is empty while
+	// the request has to wait; it asks again after After.
+	Address string
+	After   time.Duration
+}
+
 // Explain records why the system did something.
 type Explain struct {
 	// Subject is service/NAME, upstream/ADDRESS, peer/NAME or store.
 	Subject, Text string
 }
 
-func (WatchStore) action()   {}
-func (UnwatchStore) action() {}
-func (WriteStore) action()   {}
-func (ReadStore) action()    {}
-func (PollLoad) action()     {}
-func (ListVMs) action()      {}
-func (Explain) action()      {}
+func (WatchStore) action()    {}
+func (UnwatchStore) action()  {}
+func (WriteStore) action()    {}
+func (ReadStore) action()     {}
+func (PollLoad) action()      {}
+func (ListVMs) action()       {}
+func (Explain) action()       {}
+func (TrialAnswered) action() {}
 
 // PeerUp reports a link to a daemon, opened by either side. Peer is what the
 // daemon said about itself in the handshake.
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/revision"
 	"github.com/gooseberryroad/gooseberryroad/store"
 )
@@ -91,11 +92,20 @@
 	watches     map[string]*watch
 	watchSeq    uint64
 	// isElected is the choice of watchers, made again at electAt.
-	isElected bool
-	electAt   time.Time
-	polls     map[string]*poll
-	vms       poll
-	draining  bool
+	isElected  bool
+	electAt    time.Time
+	polls      map[string]*poll
+	vms        poll
+	quarantine *quarantine.State
+	// verdicts is set when those in the snapshot must be made again.
+	verdicts       bool
+	quarantineSent uint64
+	// crashNotices counts the crashes told to others since crashNoticesFrom.
+	crashNotices     int
+	crashNoticesFrom time.Time
+	// losses wait for a load report, by address and incarnation.
+	losses   map[string]*loss
+	draining bool
 	// storeDown is set while calls to the store fail. A daemon without a watch
 	// makes none as a rule, so it is not set until one has failed.
 	storeDown  bool
@@ -120,6 +130,7 @@
 		members: membership.NewMembers(o.Members), peers: newPeers(), moves: map[string]store.Entry{},
 		movers: map[string]*move{},
 		o:      o, revs: revision.NewSet(), ups: membership.NewUpstreams(o.Upstreams),
+		quarantine: quarantine.New(quarantine.Options{Self: o.Name}), losses: map[string]*loss{},
 		watches: map[string]*watch{}, polls: map[string]*poll{}, dirty: map[string]bool{},
 	}
 	for _, prefix := range watchedPrefixes {
@@ -153,6 +164,14 @@
 		out = n.upstreamRefused(now, ev)
 	case Crash:
 		out = n.crashed(now, ev)
+	case Ran:
+		out = n.quarantineStep(now, quarantine.Ran{Hash: ev.Hash})
+	case TrialRequested:
+		out = n.trialRequested(now, ev)
+	case TrialEnded:
+		out = n.quarantineStep(now, quarantine.TrialEnded{Hash: ev.Hash})
+	case RefusedQuarantined:
+		out = n.quarantineStep(now, quarantine.Refused{Hash: ev.Hash})
 	case PeerUp:
 		out = n.peerUp(now, ev)
 	case PeerDown:
@@ -170,6 +189,7 @@
 	case Tick:
 		out = n.tick(now)
 	}
+	out = append(out, n.judgeLosses(now)...)
 	_, ticked := ev.(Tick)
 	if n.urgent || ticked && (n.changed || len(n.dirty) > 0) {
 		n.publish(now)
@@ -182,6 +202,7 @@
 	out = append(out, n.tickWatches(now)...)
 	out = append(out, n.tickPolls(now)...)
 	out = append(out, n.tickMoves(now)...)
+	out = append(out, n.tickQuarantine(now)...)
 	n.refreshStates(now)
 	return out
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -108,6 +108,7 @@
 	n.changed = true
 	out := []Action{Explain{Subject: "peer/" + name, Text: "linked to " + name + " in " + ev.Peer.DataCentre}}
 	out = append(out, n.flushWindows(name)...)
+	out = append(out, n.quarantinePeerUp(now, name)...)
 	return append(out, n.digest(now, name, l, true))
 }
 
@@ -461,6 +462,9 @@
 		if m.Topic == TopicAlarm {
 			out = append(out, n.alarmed(now, m.Body)...)
 		}
+		if m.Topic == TopicQuarantine {
+			out = append(out, n.quarantineNoticed(now, m.Body)...)
+		}
 		out = append(out, Received{From: from, Topic: m.Topic, Body: m.Body})
 	}
 	for _, name := range n.linkNames() {
--- a/node/polls.go
+++ b/node/polls.go
@@ -131,15 +131,6 @@
 	return out
 }
 
-func (n *Node) crashed(now time.Time, ev Crash) []Action {
-	addr, ok := n.addressOf(ev.Service, ev.Upstream)
-	if !ok {
-		return nil
-	}
-	// A broken connection is no proof of a death; a poll decides.
-	return n.pollNow(now, addr)
-}
-
 // told applies what is new about upstreams to the snapshot and passes it on.
 // From is the peer that said it, or empty.
 func (n *Node) told(now time.Time, marks []membership.Mark, source, from string) []Action {
--- a/node/publish.go
+++ b/node/publish.go
@@ -13,6 +13,7 @@
 	s := *n.snap
 	s.Seq++
 	s.Draining, s.StoreReachable, s.Configured, s.Applied = n.draining, !n.storeDown, n.configured, n.applied
+	s.Quarantine = n.publishVerdicts(now)
 	if len(n.dirty) > 0 {
 		s.Services = maps.Clone(s.Services)
 		for name := range n.dirty {
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/document"
 	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/rollout"
 )
 
@@ -39,6 +40,8 @@
 	Applied uint64
 	// Rejected are documents that did not take effect, by service.
 	Rejected map[string]Rejection
+	// Quarantine holds the requests that do not run as usual; nil as a rule.
+	Quarantine map[quarantine.Hash]quarantine.Verdict
 	// Members are the live daemons, this one included, by name.
 	Members []MemberView
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -26,7 +26,10 @@
 // upstream of the same data centre or version crashed within the window, or two
 // daemons put different suspects on one upstream because a notice took longer
 // than Options.Reserve. It is one more if a wrong verdict is taken back, which happens at most
-// once for a content. In a partition it holds for each side. After the expiry
+// once for a content, and for each trial beside which a request ran that was in
+// flight at another crash and was not on trial. A caller of this package that
+// lets contents continue without a trial after their first crash adds one for
+// each copy. In a partition it holds for each side. After the expiry
 // of a quarantine it begins anew; each refused re-send renews the expiry.
 //
 //gooseberryroad:pure
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
+	"errors"
 	"sort"
 	"time"
 )
@@ -10,6 +12,21 @@
 // Hash identifies the content of a request.
 type Hash [16]byte
 
+// String returns the hash in hexadecimal.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// MarshalText encodes the hash in hexadecimal.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
+// UnmarshalText reads what MarshalText wrote.
+func (h *Hash) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(h)) {
+		return errors.New("quarantine: a hash has 32 hexadecimal digits")
+	}
+	_, err := hex.Decode(h[:], text)
+	return err
+}
+
 // HashOf returns the hash of a request: its service, its route or model, and
 // its body without any key of the caller.
 func HashOf(service, route string, body []byte) Hash {
@@ -633,7 +650,7 @@
 		if e == nil || e.verdict == Quarantined {
 			continue
 		}
-		if len(c.trials) > 1 || !majority(groups[0], h) || !majority(groups[1], h) {
+		if len(c.trials) > 1 || s.otherCause(c, h) || !majority(groups[0], h) || !majority(groups[1], h) {
 			e.verdict = Suspect
 			acts = append(acts, Decided{Hash: h, Verdict: Suspect, Reason: "the crash of upstream " + c.upstream + " during its trial proves nothing"})
 			continue
@@ -646,6 +663,18 @@
 	return acts
 }
 
+// otherCause reports whether a request that ran on the upstream without a trial
+// was in flight at another crash too: the first continuation after a crash goes
+// on without a trial, and may be what crashed the upstream again.
+func (s *State) otherCause(c *crash, h Hash) bool {
+	for o := range c.inFlight {
+		if e := s.entries[o]; o != h && !c.trials[o] && e != nil && len(e.crashes) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // lift takes back verdicts that rest on a crash in which the guilty request h
 // was in flight too: h explains that crash. A verdict is taken back once.
 func (s *State) lift(now time.Time, h Hash) []Action {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -572,6 +572,19 @@
 		Expect(s.Verdict(now, a)).To(Equal(quarantine.Suspect))
 	})
 
+	// Guards against a verdict on an innocent whose trial shared the upstream
+	// with the first continuation of the guilty content, which runs untried.
+	It("prove nothing beside a content that was in flight at another crash too", func() {
+		s := quarantine.New(quarantine.Options{})
+		s.Step(t0, crash("u0", "", a, b))
+		now := t0.Add(time.Minute)
+		request(s, now, a, "u1")
+		s.Step(now, crash("u1", "", a, b))
+		now = now.Add(time.Minute)
+		s.Step(now, quarantine.Tick{})
+		Expect(s.Verdict(now, a)).To(Equal(quarantine.Suspect))
+	})
+
 	// Guards against a peer's old completion that clears a newer suspicion.
 	It("of peers clear only the crashes they know", func() {
 		s := quarantine.New(quarantine.Options{})
