--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -228,6 +228,7 @@
 		Adopted:        adopter{loop, s.Daemon.Name}.tell,
 		AbandonGrace:   s.Cursor.AbandonGrace,
 		Report:         reporter{loop}.generation,
+		Quarantine:     reporter{loop},
 		Tracer:         otel.GetTracerProvider(),
 	}), nil
 }
