entry: pick and count the engine of an untried suspect in one step

Change: the pick and the count happen under one lock; the count belongs to an attempt and ends with it, also when it never starts.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/node"
 	"github.com/gooseberryroad/gooseberryroad/recovery"
+	"github.com/gooseberryroad/gooseberryroad/routing"
 )
 
 // Options configure an Entry. Snapshot, Clients and Sealer are required.
@@ -366,15 +368,24 @@
 	return f.n[upstream]
 }
 
-// names returns the upstreams with attempts, with those given.
-func (f *attemptCounts) names(exclude []string) []string {
+// reserve picks an upstream without attempts, or any if there is none, and
+// counts it in the same step, so that two requests cannot pick the same one at
+// the same time. The function picks one that is not among the names given.
+func (f *attemptCounts) reserve(exclude []string, pick func(exclude []string) (routing.Choice, bool)) (routing.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	names := exclude
+	names := slices.Clone(exclude)
 	for name := range f.n {
-		names = append(names[:len(names):len(names)], name)
+		names = append(names, name)
 	}
-	return names
+	c, ok := pick(names)
+	if !ok {
+		c, ok = pick(exclude)
+	}
+	if ok {
+		f.n[c.Upstream]++
+	}
+	return c, ok
 }
 
 // avoidFor is how long an upstream that lost an attempt of this daemon is
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -559,11 +559,16 @@
 	if g.trial.losses > 0 {
 		// Each request that lost an engine goes to another one, as long as there
 		// are any, so that a second loss tells them apart.
-		apart := r
-		apart.Exclude = g.e.suspects.names(r.Exclude)
-		c, ok = routing.Pick(g.rnd, view, apart)
-	}
-	if !ok {
+		g.leaveCrowd()
+		c, ok = g.e.suspects.reserve(r.Exclude, func(exclude []string) (routing.Choice, bool) {
+			apart := r
+			apart.Exclude = exclude
+			return routing.Pick(g.rnd, view, apart)
+		})
+		if ok {
+			g.trial.crowd, g.trial.crowdFor = c.Upstream, p.Attempt
+		}
+	} else {
 		c, ok = routing.Pick(g.rnd, view, r)
 	}
 	if !ok && len(r.Exclude) > len(p.Exclude)+len(full) {
@@ -594,8 +599,8 @@
 		g.end(old, old.outcome())
 	}
 	g.begin(t)
-	if g.trial.losses > 0 && g.trial.running != t.number {
-		g.trial.crowd = t.upstream
+	if g.trial.losses > 0 && g.trial.running != t.number && g.trial.crowd == "" {
+		g.trial.crowd, g.trial.crowdFor = t.upstream, t.number
 		g.e.suspects.add(t.upstream, 1)
 	}
 	r := g.call.base
@@ -755,6 +760,7 @@
 	for _, cancel := range g.conns {
 		cancel()
 	}
+	defer g.leaveCrowd()
 	g.e.pacer.withdraw(g.id)
 	g.queue.End()
 	for _, t := range g.tries {
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -50,8 +50,9 @@
 	// losses counts the attempts that broke off while they ran.
 	losses int
 	// crowd is the upstream at which the generation counts as a suspect that
-	// runs without a trial, empty if it does not.
-	crowd string
+	// runs without a trial, empty if it does not; crowdFor is the attempt.
+	crowd    string
+	crowdFor int
 	// attempt is the placement that waits for an answer, 0 if none does.
 	attempt int
 	// askAt is when the answer is asked for again.
@@ -220,15 +221,22 @@
 	g.e.o.Quarantine.Lost(g.call.view.Doc.Name, t.upstream, t.incarnation, g.call.content)
 }
 
+// leaveCrowd ends the count of a suspect that runs without a trial.
+func (g *generation) leaveCrowd() {
+	if g.trial.crowd != "" {
+		g.e.suspects.add(g.trial.crowd, -1)
+		g.trial.crowd = ""
+	}
+}
+
 // endTrial closes the trial of an attempt. That of one that broke off is
 // decided by the load poll.
 func (g *generation) endTrial(t *try, outcome string) {
 	if g.e.o.Quarantine == nil {
 		return
 	}
-	if g.trial.crowd != "" && t == g.last {
-		g.e.suspects.add(g.trial.crowd, -1)
-		g.trial.crowd = ""
+	if t.number == g.trial.crowdFor {
+		g.leaveCrowd()
 	}
 	trial := g.trial.running == t.number
 	if trial {
