--- a/admission/admission.go
+++ b/admission/admission.go
@@ -19,10 +19,12 @@
 	MinRetryAfter time.Duration
 }
 
-// DefaultOptions returns options for a daemon of today's size. Callers wait a
-// few seconds at most, so a longer queue would only hold abandoned requests.
+// DefaultOptions returns options for a daemon of today's size. Callers wait
+// about 4 s. A request that is admitted may wait for a free engine besides, so
+// the queue takes half of that: a caller that gives up sends the request again,
+// and the one that it left still takes a slot.
 func DefaultOptions() Options {
-	return Options{MaxQueued: 512, MaxQueuedPerAccount: 128, MaxWait: 4 * time.Second, MinRetryAfter: time.Second}
+	return Options{MaxQueued: 512, MaxQueuedPerAccount: 128, MaxWait: 2 * time.Second, MinRetryAfter: time.Second}
 }
 
 // Event is an input of a Queue.
