--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -590,7 +590,7 @@
 		Expect(f.at(address(0)).starts).To(BeEmpty())
 	},
 		Entry("no key", map[string]string{"Authorization": ""}, `{}`, 401, "no_key"),
-		Entry("unknown key", map[string]string{"Authorization": "Bearer x"}, `{}`, 401, "unknown_key"),
+		Entry("unknown key", map[string]string{"Authorization": "Bearer x"}, `{}`, 401, "invalid_api_key"),
 		Entry("no JSON", nil, `x`, 400, "bad_body"),
 		Entry("unknown model", nil, `{"model":"x"}`, 404, "unknown_model"),
 		Entry("no messages", nil, `{"model":"dedication-7b"}`, 400, "bad_body"),
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -559,14 +559,14 @@
 	if g.trial.losses > 0 {
 		// Each request that lost an engine goes to another one, as long as there
 		// are any, so that a second loss tells them apart.
-		g.leaveCrowd()
+		g.endUntried()
 		c, ok = g.e.suspects.reserve(r.Exclude, func(exclude []string) (routing.Choice, bool) {
 			apart := r
 			apart.Exclude = exclude
 			return routing.Pick(g.rnd, view, apart)
 		})
 		if ok {
-			g.trial.crowd, g.trial.crowdFor = c.Upstream, p.Attempt
+			g.trial.untriedAt, g.trial.untriedFor = c.Upstream, p.Attempt
 		}
 	} else {
 		c, ok = routing.Pick(g.rnd, view, r)
@@ -599,8 +599,8 @@
 		g.end(old, old.outcome())
 	}
 	g.begin(t)
-	if g.trial.losses > 0 && g.trial.running != t.number && g.trial.crowd == "" {
-		g.trial.crowd, g.trial.crowdFor = t.upstream, t.number
+	if g.trial.losses > 0 && g.trial.running != t.number && g.trial.untriedAt == "" {
+		g.trial.untriedAt, g.trial.untriedFor = t.upstream, t.number
 		g.e.suspects.add(t.upstream, 1)
 	}
 	r := g.call.base
@@ -760,7 +760,7 @@
 	for _, cancel := range g.conns {
 		cancel()
 	}
-	defer g.leaveCrowd()
+	defer g.endUntried()
 	g.e.pacer.withdraw(g.id)
 	g.queue.End()
 	for _, t := range g.tries {
--- a/entry/request.go
+++ b/entry/request.go
@@ -20,6 +20,7 @@
 	"github.com/gooseberryroad/gooseberryroad/node"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/recovery"
+	wire "github.com/gooseberryroad/gooseberryroad/refusal"
 )
 
 type route string
@@ -46,15 +47,7 @@
 }
 
 func (r refusal) body() errorBody {
-	kind := "server_error"
-	switch {
-	case r.Status == http.StatusUnauthorized:
-		kind = "authentication_error"
-	case r.Status == http.StatusTooManyRequests, r.Status == http.StatusServiceUnavailable:
-		kind = "overloaded_error"
-	case r.Status < 500:
-		kind = "invalid_request_error"
-	}
+	kind := wire.Refusal{Status: r.Status}.Type()
 	return errorBody{Message: r.Message, Type: kind, Code: r.Code, Outcome: r.Outcome}
 }
 
@@ -108,7 +101,7 @@
 	}
 	views := servicesOf(snap, key)
 	if len(views) == 0 {
-		return nil, bad(http.StatusUnauthorized, "unknown_key", "no account has this key")
+		return nil, bad(http.StatusUnauthorized, "invalid_api_key", "no account has this key")
 	}
 	var limit int64
 	for _, v := range views {
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -49,10 +49,10 @@
 	suspect bool
 	// losses counts the attempts that broke off while they ran.
 	losses int
-	// crowd is the upstream at which the generation counts as a suspect that
-	// runs without a trial, empty if it does not; crowdFor is the attempt.
-	crowd    string
-	crowdFor int
+	// untriedAt is the upstream at which the generation counts as a suspect that
+	// runs without a trial, empty if it does not; untriedFor is the attempt.
+	untriedAt  string
+	untriedFor int
 	// attempt is the placement that waits for an answer, 0 if none does.
 	attempt int
 	// askAt is when the answer is asked for again.
@@ -221,11 +221,11 @@
 	g.e.o.Quarantine.Lost(g.call.view.Doc.Name, t.upstream, t.incarnation, g.call.content)
 }
 
-// leaveCrowd ends the count of a suspect that runs without a trial.
-func (g *generation) leaveCrowd() {
-	if g.trial.crowd != "" {
-		g.e.suspects.add(g.trial.crowd, -1)
-		g.trial.crowd = ""
+// endUntried ends the count of a suspect that runs without a trial.
+func (g *generation) endUntried() {
+	if g.trial.untriedAt != "" {
+		g.e.suspects.add(g.trial.untriedAt, -1)
+		g.trial.untriedAt = ""
 	}
 }
 
@@ -235,8 +235,8 @@
 	if g.e.o.Quarantine == nil {
 		return
 	}
-	if t.number == g.trial.crowdFor {
-		g.leaveCrowd()
+	if t.number == g.trial.untriedFor {
+		g.endUntried()
 	}
 	trial := g.trial.running == t.number
 	if trial {
