kernel: read duration parameters of drivers in one place

Two drivers had the same loop over their parameters with the same range and errors, and the simulation of package inflight ended jobs in two places. The texts and ranges are unchanged, and so are the checks.

--- a/inflight/inflight_test.go
+++ b/inflight/inflight_test.go
@@ -70,6 +70,21 @@
 	until  time.Time
 }
 
+// release ends the jobs that are due and returns the others with the bytes that
+// they hold.
+func release(now time.Time, jobs []job, held int64, limiters []*inflight.Limiter) ([]job, int64) {
+	kept := jobs[:0]
+	for _, j := range jobs {
+		if now.Before(j.until) {
+			kept = append(kept, j)
+			continue
+		}
+		held -= j.bytes
+		limiters[j.daemon].Release(now, j.bytes)
+	}
+	return kept, held
+}
+
 // simulate runs 60 s of virtual time with faults and returns the peak of held bytes.
 func simulate(seed uint64) int64 {
 	rnd := rand.New(rand.NewPCG(seed, 0))
@@ -93,16 +108,7 @@
 	var history []past
 	for step := range 6000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
-		kept := jobs[:0]
-		for _, j := range jobs {
-			if now.Before(j.until) {
-				kept = append(kept, j)
-				continue
-			}
-			held -= j.bytes
-			limiters[j.daemon].Release(now, j.bytes)
-		}
-		jobs = kept
+		jobs, held = release(now, jobs, held, limiters)
 		busy := (step / 500) % n // load moves from daemon to daemon
 		for range 4 {
 			d := busy
@@ -139,7 +145,7 @@
 func steady(seed uint64) int64 {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	const n = 9
-	var limiters [n]*inflight.Limiter
+	limiters := make([]*inflight.Limiter, n)
 	for i := range limiters {
 		limiters[i] = inflight.New(memory)
 		limiters[i].SetDaemons(n)
@@ -148,16 +154,7 @@
 	var held, sum int64
 	for step := range 3000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
-		kept := jobs[:0]
-		for _, j := range jobs {
-			if now.Before(j.until) {
-				kept = append(kept, j)
-				continue
-			}
-			held -= j.bytes
-			limiters[j.daemon].Release(now, j.bytes)
-		}
-		jobs = kept
+		jobs, held = release(now, jobs, held, limiters)
 		for d := range limiters {
 			if limiters[d].Acquire(now, 2000) {
 				jobs = append(jobs, job{d, 2000, now.Add(time.Duration(500+rnd.IntN(2000)) * time.Millisecond)})
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Module is one self-registering driver.
@@ -80,3 +81,26 @@
 	}
 	return t, nil
 }
+
+// Durations reads the parameters of a driver into the fields named by key. It
+// returns an error for an unknown key, and for a value that is no duration from
+// 10 ms to 1 minute, because such a timeout is a mistake of its unit.
+func Durations(params map[string]string, fields map[string]*time.Duration) error {
+	known := make([]string, 0, len(fields))
+	for key := range fields {
+		known = append(known, key)
+	}
+	sort.Strings(known)
+	for key, value := range params {
+		field, ok := fields[key]
+		if !ok {
+			return fmt.Errorf("unknown parameter %q; known: %s", key, strings.Join(known, ", "))
+		}
+		d, err := time.ParseDuration(value)
+		if err != nil || d < 10*time.Millisecond || d > time.Minute {
+			return fmt.Errorf("parameter %s must be a duration from 10ms to 1m, not %q", key, value)
+		}
+		*field = d
+	}
+	return nil
+}
--- a/modules/engine/completions/completions.go
+++ b/modules/engine/completions/completions.go
@@ -88,21 +88,9 @@
 
 func newFromParams(params map[string]string) (*Client, error) {
 	var o Options
-	for key, value := range params {
-		var field *time.Duration
-		switch key {
-		case "dial_timeout":
-			field = &o.DialTimeout
-		case "header_timeout":
-			field = &o.HeaderTimeout
-		default:
-			return nil, eris.Errorf("unknown parameter %q; known: dial_timeout, header_timeout", key)
-		}
-		d, err := time.ParseDuration(value)
-		if err != nil || d < 10*time.Millisecond || d > time.Minute {
-			return nil, eris.Errorf("parameter %s must be a duration from 10ms to 1m, not %q", key, value)
-		}
-		*field = d
+	err := kernel.Durations(params, map[string]*time.Duration{"dial_timeout": &o.DialTimeout, "header_timeout": &o.HeaderTimeout})
+	if err != nil {
+		return nil, err
 	}
 	return New(o), nil
 }
--- a/modules/store/consulkv/consulkv.go
+++ b/modules/store/consulkv/consulkv.go
@@ -89,21 +89,9 @@
 		return nil, eris.Errorf("address must be HOST:PORT, not %q", k.Address)
 	}
 	o := Options{Address: k.Address}
-	for key, value := range k.Params {
-		var field *time.Duration
-		switch key {
-		case "timeout":
-			field = &o.Timeout
-		case "dial_timeout":
-			field = &o.DialTimeout
-		default:
-			return nil, eris.Errorf("unknown parameter %q; known: dial_timeout, timeout", key)
-		}
-		d, err := time.ParseDuration(value)
-		if err != nil || d < 10*time.Millisecond || d > time.Minute {
-			return nil, eris.Errorf("parameter %s must be a duration from 10ms to 1m, not %q", key, value)
-		}
-		*field = d
+	err := kernel.Durations(k.Params, map[string]*time.Duration{"timeout": &o.Timeout, "dial_timeout": &o.DialTimeout})
+	if err != nil {
+		return nil, err
 	}
 	return New(o), nil
 }
