gateway: use engines that crash as an outage of the store begins

Two of six engines crashed 150 ms before the store went away and were back at their addresses under new IDs. The daemons met them while the content still counted as confirmed, did not adopt them, and did not look again for 10 s. Later looks failed because another service had an order to move, and after a second crash of the same engine because an adopted engine was not replaced by the next one. The four engines left were full, so streams were refused.

Ruled out: stale load reports and the retry budget, which were suspected before; all four engines that the daemons knew did run all their places.

Change: adopt looks again every 500 ms until the store has told what is at the address, once for all requests that met it. Only an open order of the engine's own service stands in the way. registry.Takeovers follows an address through several crashes. Found beside it: each daemon repeated a status write five times a second while the store refused; cutover now doubles the pause up to 800 ms and publishes refused evidence again.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -43,6 +43,20 @@
 	Revision uint64
 }
 
+// Open reports whether the order is neither completed nor reverted by a status.
+func (o Order) Open(s Status) bool {
+	s = s.of(o)
+	return s.State != Completed && s.State != Reverted
+}
+
+// of drops a status that belongs to an earlier order.
+func (s Status) of(o Order) Status {
+	if s.Target != o.Target || s.Revision < o.Revision {
+		return Status{Revision: s.Revision}
+	}
+	return s
+}
+
 // Counts are judged outcomes.
 type Counts struct {
 	Good int `json:"good"`
@@ -103,6 +117,11 @@
 	// publishEvery is the least time between two publications of a daemon. Calls
 	// to the store are counted.
 	publishEvery = 400 * time.Millisecond
+	// writeRetry and maxWriteRetry bound the pause after a write that failed, as it
+	// doubles. Refused calls are priced too, and the status has to be there within a
+	// second of the store's return.
+	writeRetry    = 200 * time.Millisecond
+	maxWriteRetry = 800 * time.Millisecond
 )
 
 // growth is the schedule of an examined target: from a part of the time on, at
@@ -127,9 +146,13 @@
 	own       Evidence
 	published time.Time
 	dirty     bool
-	others    map[string]Evidence
-	badRoute  string
-	judgedAt  time.Time
+	// failedWrites counts the writes that failed in a row; none is due before
+	// retryAt.
+	failedWrites int
+	retryAt      time.Time
+	others       map[string]Evidence
+	badRoute     string
+	judgedAt     time.Time
 }
 
 // New returns the state of an order that was read at now. Round is uniform in
@@ -147,12 +170,7 @@
 
 // SetStatus takes the status in the store. One that is older than the order
 // belongs to an earlier order.
-func (c *Cutover) SetStatus(s Status) {
-	if s.Target != c.order.Target || s.Revision < c.order.Revision {
-		s = Status{Revision: s.Revision}
-	}
-	c.status = s
-}
+func (c *Cutover) SetStatus(s Status) { c.status = s.of(c.order) }
 
 // State is the state in the store; empty when there is none for this order.
 func (c *Cutover) State() State { return c.status.State }
@@ -303,6 +321,9 @@
 // the status.
 func (c *Cutover) Due(now time.Time, rank int) Write {
 	w := Write{StatusRevision: c.status.Revision}
+	if now.Before(c.retryAt) {
+		return w
+	}
 	late := time.Duration(rank) * rankDelay
 	complete := completeUnexaminedAt
 	if c.examined() {
@@ -327,3 +348,14 @@
 	}
 	return w
 }
+
+// WriteFailed notes that a write did not reach the store. Evidence in it is due
+// again.
+func (c *Cutover) WriteFailed(now time.Time, evidence bool) {
+	c.retryAt = now.Add(min(writeRetry<<min(c.failedWrites, 4), maxWriteRetry))
+	c.failedWrites++
+	c.dirty = c.dirty || evidence
+}
+
+// Written notes that the store took a write.
+func (c *Cutover) Written() { c.failedWrites = 0 }
--- a/cutover/cutover_test.go
+++ b/cutover/cutover_test.go
@@ -243,4 +243,39 @@
 		f.now = f.now.Add(1300 * time.Millisecond)
 		Expect(f.daemons[2].Due(f.now, 2).State).To(Equal(cutover.Running))
 	})
+
+	// Guards against orders that go on for good in the eyes of a daemon: what it
+	// may do for the service depends on it.
+	It("are open until a status of their own ends them", func() {
+		o := cutover.Order{Target: "v2", Revision: 50}
+		Expect(o.Open(cutover.Status{})).To(BeTrue())
+		Expect(o.Open(cutover.Status{Target: "v2", State: cutover.Running, Revision: 51})).To(BeTrue())
+		Expect(o.Open(cutover.Status{Target: "v2", State: cutover.Completed, Revision: 40})).To(BeTrue(), "an earlier order's")
+		Expect(o.Open(cutover.Status{Target: "v2", State: cutover.Completed, Revision: 52})).To(BeFalse())
+		Expect(o.Open(cutover.Status{Target: "v2", State: cutover.Reverted, Revision: 52})).To(BeFalse())
+	})
+
+	// Guards against an outage of the store during a move, in which every daemon
+	// repeats its write five times a second: refused calls are priced too.
+	It("asks a store that refuses less and less, and publishes what it refused", func() {
+		f := newFleet(1, 15*time.Second, 1)
+		c := f.daemons[0]
+		c.Outcome("r", "v2", false, f.now)
+		calls := 0
+		for range 25 { // five seconds of an outage
+			if w := c.Due(f.now, 0); w.State != "" {
+				calls++
+				c.WriteFailed(f.now, w.Evidence != nil)
+			}
+			f.now = f.now.Add(200 * time.Millisecond)
+		}
+		Expect(calls).To(BeNumerically("<=", 8))
+		f.now = f.now.Add(time.Second)
+		w := c.Due(f.now, 0)
+		Expect(w.State).To(Equal(cutover.Running))
+		Expect(w.Evidence).NotTo(BeNil())
+		c.Written()
+		c.WriteFailed(f.now, false)
+		Expect(c.Due(f.now.Add(200*time.Millisecond), 0).State).To(Equal(cutover.Running), "the pause begins anew")
+	})
 })
--- a/edge/cutover.go
+++ b/edge/cutover.go
@@ -40,25 +40,28 @@
 		case <-t.C:
 		}
 		for _, d := range e.gateway.CutoversDue(e.rank) {
-			e.writeCutover(ctx, d)
+			e.gateway.CutoverWritten(d, e.writeCutover(ctx, d))
 		}
 	}
 }
 
-func (e *Edge) writeCutover(ctx context.Context, d gateway.Due) {
+// writeCutover reports whether the store took all that was due.
+func (e *Edge) writeCutover(ctx context.Context, d gateway.Due) bool {
 	log := telemetry.Part(e.o.Logger, "cutover")
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	taken := true
 	if d.State != "" {
 		err := e.o.Store.ReportCutover(ctx, d.Service, d.Target, d.State, d.StatusRevision)
 		if errors.Is(err, store.ErrConflict) {
 			// Another daemon was first; the watch brings its status.
 			err = nil
 		}
+		taken = err == nil
 		log.Info("status written", "service", d.Service, "target", d.Target, "state", d.State, "cause", err)
 	}
 	if d.Evidence == nil {
-		return
+		return taken
 	}
 	value, err := json.Marshal(d.Evidence)
 	if err != nil {
@@ -67,7 +70,9 @@
 	key := directory.EvidencePrefix + d.Service + "/" + e.o.Settings.Name
 	if err := e.o.Store.PutLeased(ctx, key, value, e.follower.Lease()); err != nil {
 		log.Warn("evidence not written", "service", d.Service, "cause", err)
+		return false
 	}
+	return taken
 }
 
 // rank is this daemon's place among all daemons for a service.
--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -107,7 +107,7 @@
 	all := g.o.Directory.View().Upstreams[in.Service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, known := range g.withAdopted(all) {
+	for _, known := range g.adopted.Apply(all) {
 		if known.ID == in.ID && known.Born == in.Born {
 			return true
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,9 +35,10 @@
 	// usual is the usual latency of each route: to the whole answer, or to the
 	// first event of a stream.
 	usual map[string]time.Duration
-	// adopted holds engines that took the address of a registered one over, by the
-	// registered ID.
-	adopted map[string]registry.Instance
+	// adopted holds the engines that are used at the addresses of registered ones,
+	// adopting the IDs of those for which a successor is looked for.
+	adopted  registry.Takeovers
+	adopting map[string]bool
 }
 
 // New returns a gateway.
@@ -46,8 +47,8 @@
 		o: o, started: time.Now(), rnd: o.Rand,
 		board:   placement.NewBoard(o.DataCentre, o.Rand),
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
-		bodies:  memory{limit: o.BodyBytes},
-		adopted: map[string]registry.Instance{}, usual: map[string]time.Duration{},
+		bodies:   memory{limit: o.BodyBytes},
+		adopting: map[string]bool{}, usual: map[string]time.Duration{},
 	}
 }
 
@@ -83,7 +84,7 @@
 	g.board.Keep(v.All)
 	g.followCutovers(v, time.Now())
 	g.forgetRoutes(v)
-	g.forgetAdopted(v)
+	g.adopted.Keep(v.All)
 }
 
 // forgetRoutes drops the latencies of routes that were removed. The lock is
@@ -107,7 +108,7 @@
 	all := g.o.Directory.View().Upstreams[r.service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	candidates := g.withAdopted(g.ofVersion(r, all))
+	candidates := g.adopted.Apply(g.ofVersion(r, all))
 	if len(excluded) > 0 {
 		candidates = slices.DeleteFunc(slices.Clone(candidates), func(in registry.Instance) bool { return excluded[in.ID] })
 	}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -61,6 +61,21 @@
 	return out
 }
 
+// CutoverWritten notes whether the store took what was due for a service.
+func (g *Gateway) CutoverWritten(d Due, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.cutovers[d.Service]
+	switch {
+	case c == nil:
+		// The order was removed meanwhile.
+	case ok:
+		c.Written()
+	default:
+		c.WriteFailed(time.Now(), d.Evidence != nil)
+	}
+}
+
 // chooseVersion decides whether a request goes to the version that is moved in.
 func (g *Gateway) chooseVersion(r *request) {
 	daemons := g.o.Directory.View().Daemons
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -50,10 +50,10 @@
 	dataCentreShare = 0.34
 	// minDataCentreFailures keeps single crashes from condemning a data centre.
 	minDataCentreFailures = 2
-	// gonePause is how long an upstream that another one replaced at its address
+	// GonePause is how long an upstream that another one replaced at its address
 	// gets no work. Its registration is removed meanwhile, unless the store is
 	// away.
-	gonePause = 10 * time.Second
+	GonePause = 10 * time.Second
 	// maxLoadAge is how long a load report counts. Requests that were running then
 	// have mostly ended.
 	maxLoadAge = 2 * time.Second
@@ -280,7 +280,7 @@
 // Gone notes that another upstream answers at the address. A registration that
 // is written again has another ID.
 func (b *Board) Gone(id string, now time.Time) {
-	b.state(id).goneUntil = now.Add(gonePause)
+	b.state(id).goneUntil = now.Add(GonePause)
 }
 
 // Lost reports whether an upstream failed lately or is gone.
