gateway: quarantine requests that crash the upstreams that run them

Cause: the users' rules allow a request that crashes each upstream that begins to run it three crashes and three runs more; only the route's attempts bound it on the platform, for each of the client's sends anew.

Ruled out: the trials of quarantine.State, which need messages between all daemons and hold a suspect for seconds while a stream may pause 0.7 s; counting each crash, which would quarantine popular contents when upstreams crash together.

Change: quarantine.CrashLog counts crashes of a content that followed each other. A run counts that broke off before its second event, if its upstream then drops a new connection and others of its data centre did not crash with it. Counts travel through the store under a daemon's lease; a content that completes is forgotten. Writes to the store are paced by internal/backoff, which cutover uses too. The soak sends such requests and checks the rule.

It costs at most two writes for each run lost at its begin.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -13,6 +13,8 @@
 
 import (
 	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/internal/backoff"
 )
 
 // State is what the operator reads back.
@@ -146,13 +148,11 @@
 	own       Evidence
 	published time.Time
 	dirty     bool
-	// failedWrites counts the writes that failed in a row; none is due before
-	// retryAt.
-	failedWrites int
-	retryAt      time.Time
-	others       map[string]Evidence
-	badRoute     string
-	judgedAt     time.Time
+	// retry is the pause after writes that failed.
+	retry    backoff.Backoff
+	others   map[string]Evidence
+	badRoute string
+	judgedAt time.Time
 }
 
 // New returns the state of an order that was read at now. Round is uniform in
@@ -161,7 +161,7 @@
 func New(o Order, round float64, now time.Time) *Cutover {
 	return &Cutover{
 		order: o, since: now, round: round, own: Evidence{Order: o.Revision, Cells: map[string]Cell{}},
-		others: map[string]Evidence{},
+		others: map[string]Evidence{}, retry: backoff.Backoff{First: writeRetry, Most: maxWriteRetry},
 	}
 }
 
@@ -321,7 +321,7 @@
 // the status.
 func (c *Cutover) Due(now time.Time, rank int) Write {
 	w := Write{StatusRevision: c.status.Revision}
-	if now.Before(c.retryAt) {
+	if !c.retry.Ready(now) {
 		return w
 	}
 	late := time.Duration(rank) * rankDelay
@@ -352,10 +352,9 @@
 // WriteFailed notes that a write did not reach the store. Evidence in it is due
 // again.
 func (c *Cutover) WriteFailed(now time.Time, evidence bool) {
-	c.retryAt = now.Add(min(writeRetry<<min(c.failedWrites, 4), maxWriteRetry))
-	c.failedWrites++
+	c.retry.Failed(now)
 	c.dirty = c.dirty || evidence
 }
 
 // Written notes that the store took a write.
-func (c *Cutover) Written() { c.failedWrites = 0 }
+func (c *Cutover) Written() { c.retry.Succeeded() }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
 	"github.com/gooseberryroad/gooseberryroad/sources"
@@ -310,6 +311,21 @@
 		Expect(version(f)()).To(BeEquivalentTo(5))
 	})
 
+	// Guards against a request that crashes upstreams and is known at one daemon
+	// only, and against counts of daemons that are gone.
+	It("shows the largest number of crashes that a daemon published", func() {
+		f := start("d1")
+		Eventually(version(f)).Should(BeEquivalentTo(1))
+		h, other := quarantine.HashOf("a", "b", nil), quarantine.HashOf("a", "c", nil)
+		st.put(directory.CrashPrefix+"d2", fmt.Sprintf(`{%q: 2, %q: 1}`, h, other))
+		st.put(directory.CrashPrefix+"d3", fmt.Sprintf(`{%q: 3}`, h))
+		st.put(directory.CrashPrefix+"d4", "no JSON")
+		crashes := func() map[quarantine.Hash]int { return f.View().Crashes }
+		Eventually(crashes, "5s").Should(Equal(map[quarantine.Hash]int{h: 3, other: 1}))
+		st.remove(directory.CrashPrefix + "d3")
+		Eventually(crashes, "5s").Should(Equal(map[quarantine.Hash]int{h: 2, other: 1}))
+	})
+
 	It("reads everything again after the store dropped its history", func() {
 		f := start("d1")
 		Eventually(version(f)).Should(BeEquivalentTo(1))
--- a/directory/state.go
+++ b/directory/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
 	"github.com/gooseberryroad/gooseberryroad/sources"
@@ -36,6 +37,10 @@
 // moved in: EvidencePrefix + service + "/" + daemon.
 const EvidencePrefix = "gooseberryroad/cutovers/"
 
+// CrashPrefix is where daemons publish the contents that crashed upstreams:
+// CrashPrefix + daemon.
+const CrashPrefix = "gooseberryroad/crashes/"
+
 // maxRecent is the number of changes kept for daemons that follow this one. One
 // that is further behind gets the whole content.
 const maxRecent = 512
@@ -58,6 +63,9 @@
 	All []registry.Instance
 	// Cutovers holds the orders to move a service, by service.
 	Cutovers map[string]Cutover
+	// Crashes holds the largest number of crashes of each content that a daemon
+	// published.
+	Crashes map[quarantine.Hash]int
 	// Peers holds the names of the daemons that registered.
 	Peers []string
 	// Daemons is the number of daemons that registered, this one included; at
@@ -102,7 +110,9 @@
 	orders       map[string]cutover.Order
 	statuses     map[string]cutover.Status
 	evidence     map[string]map[string]cutover.Evidence
-	dirty        bool
+	// crashes maps keys to what a daemon published.
+	crashes map[string]map[quarantine.Hash]int
+	dirty   bool
 }
 
 func newState(d Decoder, log *slog.Logger) *state {
@@ -110,6 +120,7 @@
 		log: log, decoder: d, entries: map[string]store.Entry{},
 		registry: registry.New(), peers: map[string]sources.Peer{},
 		orders: map[string]cutover.Order{}, statuses: map[string]cutover.Status{}, evidence: map[string]map[string]cutover.Evidence{},
+		crashes: map[string]map[quarantine.Hash]int{},
 	}
 }
 
@@ -169,6 +180,7 @@
 	case s.putInstance(e, now):
 	case s.putPeer(e):
 	case s.putCutover(e):
+	case s.putCrashes(e):
 	default:
 		return
 	}
@@ -225,6 +237,21 @@
 	return true
 }
 
+func (s *state) putCrashes(e store.Entry) bool {
+	daemon, ok := strings.CutPrefix(e.Key, CrashPrefix)
+	if !ok {
+		return false
+	}
+	var counts map[quarantine.Hash]int
+	if err := json.Unmarshal(e.Value, &counts); err != nil {
+		s.log.Warn("crashes of a daemon cannot be read", "daemon", daemon, "cause", err)
+		return true
+	}
+	s.crashes[e.Key] = counts
+	s.dirty = true
+	return true
+}
+
 // putCutover takes orders, their status and the daemons' evidence.
 func (s *state) putCutover(e store.Entry) bool {
 	if o, ok, err := s.decoder.Order(e); ok {
@@ -281,6 +308,11 @@
 		s.peersChanged, s.dirty = true, true
 		return
 	}
+	if strings.HasPrefix(key, CrashPrefix) {
+		delete(s.crashes, key)
+		s.dirty = true
+		return
+	}
 	s.removeCutover(e)
 	if in, ok, _ := s.decoder.Instance(e); ok {
 		s.registry.Remove(in.ID, now)
@@ -304,6 +336,12 @@
 		Revision:  s.revision,
 		Ready:     s.loaded && s.table != nil,
 		Cutovers:  map[string]Cutover{},
+		Crashes:   map[quarantine.Hash]int{},
+	}
+	for _, counts := range s.crashes {
+		for h, n := range counts {
+			v.Crashes[h] = max(v.Crashes[h], n)
+		}
 	}
 	for service, o := range s.orders {
 		v.Cutovers[service] = Cutover{Order: o, Status: s.statuses[service], Evidence: maps.Clone(s.evidence[service])}
--- a/edge/cutover.go
+++ b/edge/cutover.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"time"
 
-	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/gateway"
 	"github.com/gooseberryroad/gooseberryroad/membership"
@@ -14,37 +11,6 @@
 	"github.com/gooseberryroad/gooseberryroad/telemetry"
 )
 
-const (
-	// cutoverEvery is how often the moves between versions are looked at.
-	cutoverEvery = 200 * time.Millisecond
-	// writeTimeout bounds one write to the store.
-	writeTimeout = 1500 * time.Millisecond
-)
-
-// Store is what an edge needs of the platform's service.
-type Store interface {
-	directory.Store
-	// ReportCutover writes the status of an order if the status has the given
-	// revision; 0 is no status.
-	ReportCutover(ctx context.Context, service, target string, state cutover.State, revision uint64) error
-}
-
-// writeCutovers writes the status of orders and what this daemon saw of them.
-func (e *Edge) writeCutovers(ctx context.Context) {
-	t := time.NewTicker(cutoverEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		for _, d := range e.gateway.CutoversDue(e.rank) {
-			e.gateway.CutoverWritten(d, e.writeCutover(ctx, d))
-		}
-	}
-}
-
 // writeCutover reports whether the store took all that was due.
 func (e *Edge) writeCutover(ctx context.Context, d gateway.Due) bool {
 	log := telemetry.Part(e.o.Logger, "cutover")
@@ -63,12 +29,8 @@
 	if d.Evidence == nil {
 		return taken
 	}
-	value, err := json.Marshal(d.Evidence)
-	if err != nil {
-		panic(err) // numbers and strings always have a JSON form
-	}
 	key := directory.EvidencePrefix + d.Service + "/" + e.o.Settings.Name
-	if err := e.o.Store.PutLeased(ctx, key, value, e.follower.Lease()); err != nil {
+	if err := e.putLeased(ctx, key, d.Evidence); err != nil {
 		log.Warn("evidence not written", "service", d.Service, "cause", err)
 		return false
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -169,7 +169,7 @@
 	}
 	go e.follower.Run(run)
 	go e.sweep(run)
-	go e.writeCutovers(run)
+	go e.publish(run)
 	e.o.Logger.Info("daemon started", "part", "edge", "name", s.Name, "data_centre", s.DataCentre, "clients", e.ClientAddress())
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/placement"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/retrybudget"
 )
@@ -35,6 +36,8 @@
 	// usual is the usual latency of each route: to the whole answer, or to the
 	// first event of a stream.
 	usual map[string]time.Duration
+	// crashes counts the upstreams that a content crashed.
+	crashes *quarantine.CrashLog
 	// adopted holds the engines that are used at the addresses of registered ones,
 	// adopting the IDs of those for which a successor is looked for.
 	adopted  registry.Takeovers
@@ -48,6 +51,7 @@
 		board:   placement.NewBoard(o.DataCentre, o.Rand),
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
 		bodies:   memory{limit: o.BodyBytes},
+		crashes:  quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
 		adopting: map[string]bool{}, usual: map[string]time.Duration{},
 	}
 }
@@ -77,7 +81,7 @@
 	}
 }
 
-// OnView takes the registered upstreams and the orders of a new view.
+// OnView takes the registered upstreams, the orders and the crashes of a new view.
 func (g *Gateway) OnView(v *directory.View) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -85,6 +89,7 @@
 	g.followCutovers(v, time.Now())
 	g.forgetRoutes(v)
 	g.adopted.Keep(v.All)
+	g.crashes.Learn(v.Crashes, time.Now())
 }
 
 // forgetRoutes drops the latencies of routes that were removed. The lock is
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
+	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
 )
@@ -36,6 +37,8 @@
 	// deadline is when the client must have our answer.
 	deadline time.Time
 	version  int64
+	// hash is the content's, once it is needed.
+	hash *quarantine.Hash
 	// onTarget requests go to the version that is moved in.
 	onTarget bool
 }
@@ -64,6 +67,9 @@
 		held, refusal = g.readBody(w, hr, view.Table, r)
 		defer g.bodies.release(held)
 	}
+	if refusal == nil {
+		refusal = g.refuseQuarantined(r)
+	}
 	if refusal != nil {
 		g.refuseUnread(w, hr, &call, *refusal)
 		g.logRefusal(&call, r, *refusal)
@@ -113,6 +119,15 @@
 	return r, nil
 }
 
+// refuseQuarantined refuses a request whose content crashed too many upstreams.
+func (g *Gateway) refuseQuarantined(r *request) *refusal {
+	left := g.quarantined(r)
+	if left == 0 {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, code: codeQuarantined, retryAfter: left}
+}
+
 // fitInto ends a short request before the daemon stops, and refuses one that the
 // stop would cut.
 func (r *request) fitInto(stop *drain.Plan, now time.Time) *refusal {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,10 +54,12 @@
 	gapAfter int64
 	excluded map[string]bool
 	account  retrybudget.Account
-	// sent counts the requests to upstreams, ran those that may have run.
-	sent    int
-	ran     int
-	stopped string
+	// sent counts the requests to upstreams, ran those that may have run, and
+	// runEvents the events of the current run.
+	sent      int
+	ran       int
+	runEvents int
+	stopped   string
 }
 
 // serveStream passes events on as they come, and goes on elsewhere when the
@@ -69,7 +71,11 @@
 	s := &stream{g: g, r: r, w: w, state: failover.New(o), after: r.After, excluded: map[string]bool{}}
 	p, ok := s.search(ctx)
 	for ok {
-		switch s.run(ctx, &p) {
+		step := s.run(ctx, &p)
+		if step != failover.Wait && g.quarantined(r) > 0 {
+			step, s.stopped = failover.GiveUp, codeQuarantined
+		}
+		switch step {
 		case failover.Wait:
 			// An engine's own failure was delivered, and counted, without a head.
 			if s.headSent {
@@ -92,6 +98,7 @@
 
 // finish logs the end of a complete stream.
 func (s *stream) finish() {
+	s.g.completed(s.r)
 	countEnd(s.r, outcomeAnswered)
 	firstEventTime.Update(s.began.Sub(s.r.arrived).Seconds())
 	streamGapTime.Update(s.maxGap.Seconds())
@@ -138,6 +145,7 @@
 	began := time.Now()
 	s.sent++
 	s.ran++
+	s.runEvents = 0
 	s.state.Sent(began, p.copyTo.ID != "")
 	view := g.o.Directory.View()
 	g.o.Logger.Info("stream sent", "id", s.r.ID, "upstream", p.in.ID, "data_centre", p.in.DataCentre, "copy", p.copyTo.ID,
@@ -186,6 +194,9 @@
 		select {
 		case m := <-messages:
 			if m.end {
+				if m.verdict == broken && s.runEvents <= maxFirstEvents {
+					g.brokeOff(ctx, s.r, p.in, began)
+				}
 				next := s.ended(*p, m, began)
 				if next == failover.Wait {
 					copies.end(*p)
@@ -197,6 +208,7 @@
 				s.stopped = "client_gone"
 				return failover.GiveUp
 			}
+			s.runEvents++
 			s.state.Delivered(time.Now())
 			if !accepted {
 				accepted = true
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -71,7 +71,10 @@
 		ans, v, err := g.exchange(ctx, r, in, t.timeout())
 		t.note(in, v, err, time.Since(began))
 		switch v {
+		case broken:
+			g.brokeOff(ctx, r, in, began)
 		case answered:
+			g.completed(r)
 			g.deliver(w, r, in, ans)
 			return
 		case erred:
@@ -115,6 +118,10 @@
 		t.stopped = "attempts_used"
 		return registry.Instance{}, false
 	}
+	if t.runs > 0 && t.g.quarantined(t.r) > 0 {
+		t.stopped = codeQuarantined
+		return registry.Instance{}, false
+	}
 	for {
 		now := time.Now()
 		if ctx.Err() != nil || t.r.left(now) < minOffer {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -453,6 +453,12 @@
 	return sum / float64(n)
 }
 
+// FailsTogether reports whether an upstream failed at about the same time as
+// several others of its service and data centre.
+func (b *Board) FailsTogether(in registry.Instance, now time.Time) bool {
+	return b.failing(group{in.Service, in.DataCentre}, now)
+}
+
 // failing reports whether several upstreams of a service in one data centre
 // failed at about the same time.
 func (b *Board) failing(g group, now time.Time) bool {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -32,5 +32,9 @@
 // each copy. In a partition it holds for each side. After the expiry
 // of a quarantine it begins anew; each refused re-send renews the expiry.
 //
+// State serves daemons with links to each other. CrashLog is for daemons that only
+// share the platform's store, where each message is a priced call and a stream
+// cannot wait for a trial: it counts crashes that followed each other.
+//
 //gooseberryroad:pure
 package quarantine
--- a/soak/act.go
+++ b/soak/act.go
@@ -73,6 +73,8 @@
 		switch f.Kind {
 		case Configure:
 			s.configure()
+		case CrashEach:
+			s.crashEach(ctx)
 		case MoveGood, MoveBad:
 			s.move(ctx, f.Kind == MoveBad)
 		case KillAll:
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -136,6 +136,7 @@
 	runs     []run
 	leaves   []leave
 	moves    []move
+	crashers []crasher
 	troubles disturbances
 	// stops are the daemons' planned stops, from the signal to the exit.
 	stops disturbances
@@ -167,6 +168,11 @@
 			out = append(out, fmt.Sprintf("move: %s, ordered %s: %s", m.version, m.from.Format("15:04:05.000"), broken))
 		}
 	}
+	for _, c := range l.crashers {
+		if broken := l.judgeCrasher(c); broken != "" {
+			out = append(out, fmt.Sprintf("crashes: %q, first sent %s: %s", c.body, c.from.Format("15:04:05.000"), broken))
+		}
+	}
 	for _, r := range l.runs {
 		a, known := by[r.id]
 		if !known {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -32,6 +32,7 @@
 	MoveGood   Kind = "move-good"  // the operator moves a service to a version that works
 	MoveBad    Kind = "move-bad"   // the operator moves a service to a version that fails
 	Lapse      Kind = "lapse"      // the store is away, and the upstreams' entries lapse
+	CrashEach  Kind = "crash-each" // a request that crashes each upstream is sent again and again
 )
 
 // Part is what a fault acts on.
@@ -72,6 +73,7 @@
 		{TheStore, Lapse}, {TheStore, Lapse},
 	},
 	{{Everything, MoveGood}, {Everything, MoveGood}, {Everything, MoveBad}, {Everything, MoveBad}},
+	{{Everything, CrashEach}, {Everything, CrashEach}, {Everything, CrashEach}, {Everything, CrashEach}},
 }
 
 // Fault is one fault of a plan.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -122,6 +122,10 @@
 	// moving is held while the operator moves a service; moves counts the orders.
 	moving sync.Mutex
 	moves  int
+	// crashing is held while a request that crashes upstreams is sent; crashers
+	// counts them.
+	crashing sync.Mutex
+	crashers int
 
 	mu      sync.Mutex
 	failed  error
@@ -322,6 +326,7 @@
 			}
 		}
 	}
+	s.noteCrashes()
 	r.Broken = append(r.Broken, s.played.check()...)
 	for _, d := range s.daemons {
 		r.Broken = append(r.Broken, d.broken...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,6 +108,17 @@
 		Expect(judge(request(platformtest.LookUp))).To(BeEmpty())
 	})
 
+	It("finds requests that run again long after they have crashed three upstreams", func() {
+		c := crasher{body: "b", from: at(10), to: at(20), runs: []crasherRun{{at(10), 0}, {at(11), 1}, {at(12), 1}, {at(13), 1}}}
+		Expect(l.judgeCrasher(c)).To(BeEmpty(), "within the time in which daemons learn of it")
+		c.runs = append(c.runs, crasherRun{at(14.5), 1}, crasherRun{at(15), 1}, crasherRun{at(16), 1})
+		Expect(l.judgeCrasher(c)).To(BeEmpty())
+		c.runs = append(c.runs, crasherRun{at(17), 1})
+		Expect(l.judgeCrasher(c)).NotTo(BeEmpty())
+		l.troubles.add(StoreLinks, 1, span{at(12), at(13)})
+		Expect(l.judgeCrasher(c)).To(BeEmpty(), "a daemon was not in touch")
+	})
+
 	It("finds refused orders that ran", func() {
 		a := request(platformtest.Order)
 		a.status = http.StatusServiceUnavailable
