placement, gateway: look further before a full engine is tried

Cause: soak: streams refused with retry_budget while half the places were free. The five engines that were asked for their load were full, and the one that was not asked was tried blind; each refusal cost one of the few repeats that crashes had left.

Ruled out: entries that the daemons did not know (all six engines were registered); a budget that is spent on anything but crashes (54 repeats for 85 streams in ten seconds, 46 of them after lost runs).

Change: placement.Scouts asks up to two more rounds of engines when all that answered are full. Board.Reserve counts a stream at its engine when it is chosen, and what was sent since a report counts as taken. A stream without an event waits for the budget for an eighth of its latency objective, and longer once it has run, because then it cannot be refused.

--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -1,18 +1,15 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/gooseberryroad/gooseberryroad/failover"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
-	"github.com/gooseberryroad/gooseberryroad/membership"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/retrybudget"
@@ -20,10 +17,6 @@
 )
 
 const (
-	// localScouts and remoteScouts are the engines that are asked for their load
-	// before a stream is placed. A stream is worth far more than the questions.
-	localScouts  = 3
-	remoteScouts = 2
 	// scoutTimeout bounds the wait for the answers; an engine that does not answer
 	// in a few round trips does not get the stream.
 	scoutTimeout = 60 * time.Millisecond
@@ -38,6 +31,10 @@
 	// streamSearchShare is the part of the latency objective for which a place for
 	// a stream is looked for before it is refused.
 	streamSearchShare = 0.4
+	// budgetWaitShare is the part of the latency objective for which a stream
+	// without an event waits for the retry budget. A refusal up to then is early
+	// enough for the client to be served in time by another daemon.
+	budgetWaitShare = 0.125
 	// continueWithin is how long after its last event a stream waits for the retry
 	// budget before it is cut, so that its client can take it up at another daemon:
 	// the time in which output goes on after a loss.
@@ -71,11 +68,9 @@
 		}
 		// Asking for the load costs no repeat, being refused does.
 		if len(ranked) > 0 && !ranked[0].Taken {
-			p := place{in: ranked[0].Instance}
-			if cached, ok := s.cached(ctx); ok {
-				p.in = cached
+			if in, ok := s.reserveOne(ctx, ranked[0].Instance); ok {
+				return s.withCopy(place{in: in}, ranked), true
 			}
-			return s.withCopy(p, ranked), true
 		}
 		limit := time.Duration(streamSearchShare * float64(s.r.route.TargetLatency))
 		if !s.headSent && s.ran == 0 && now.Add(delay).Sub(s.r.arrived) > limit {
@@ -88,6 +83,20 @@
 	}
 }
 
+// reserveOne counts the next run at the engine that keeps its prompt, or else at
+// the best one. It fails when another stream took the last place meanwhile.
+func (s *stream) reserveOne(ctx context.Context, best registry.Instance) (registry.Instance, bool) {
+	if in, ok := s.cached(ctx); ok && s.reserve(in) {
+		return in, true
+	}
+	return best, s.reserve(best)
+}
+
+func (s *stream) reserve(in registry.Instance) (ok bool) {
+	s.g.onBoard(func(b *placement.Board) { ok = b.Reserve(in, time.Now()) })
+	return ok
+}
+
 // candidates are the upstreams to which the next run may go, best first. A stream
 // that lost an upstream waits for a place at a sound one before it tries another
 // that failed lately: that one may take the stream and stay silent.
@@ -104,23 +113,24 @@
 }
 
 // awaitRepeat takes a repeat from the retry budget if the next run needs one. A
-// stream whose client has a part of it waits for one, because the budget grows
+// stream waits for one, longer if its client has a part of it: the budget grows
 // with every request.
 func (s *stream) awaitRepeat(ctx context.Context) bool {
 	if !s.account.Owes() {
 		return true
 	}
+	use, until := retrybudget.Continuation, s.passed.Add(continueWithin)
 	if !s.headSent {
-		if !s.g.allowRepeat(s.r.service, retrybudget.Search) {
-			s.stopped = "retry_budget"
-			return false
+		share := budgetWaitShare
+		if s.ran > 0 {
+			// What ran is not refused but fails, so that waiting is better.
+			share = streamSearchShare
 		}
-		s.account.Pay()
-		return true
+		use, until = retrybudget.Search, s.r.arrived.Add(time.Duration(share*float64(s.r.route.TargetLatency)))
 	}
-	for until := s.passed.Add(continueWithin); !s.g.allowRepeat(s.r.service, retrybudget.Continuation); {
-		pause.For(ctx, maxRepeatPause)
-		if ctx.Err() != nil || time.Now().After(until) {
+	for !s.g.allowRepeat(s.r.service, use) {
+		wait := min(time.Until(until), maxRepeatPause)
+		if wait <= 0 || !pause.For(ctx, wait) {
 			s.stopped = "retry_budget"
 			return false
 		}
@@ -169,6 +179,7 @@
 		from = &Copy{Address: p.in.Address, Handle: p.handle}
 	}
 	next := place{in: p.copyTo, restore: from}
+	s.g.onBoard(func(b *placement.Board) { b.Begin(next.in) })
 	excluded := map[string]bool{p.copyTo.ID: true, p.in.ID: true}
 	return s.withCopy(next, s.g.rank(s.r, excluded)), true
 }
@@ -176,10 +187,27 @@
 // scout asks a few engines for their load and returns those that answer and have
 // a place, best first, and then those that were not asked.
 func (g *Gateway) scout(ctx context.Context, r *request, ranked []placement.Ranked) []placement.Ranked {
-	asked, rest := pickScouts(ranked, r.Prompt, g.o.DataCentre)
-	if len(asked) < 2 {
-		return ranked
+	rank := func(of []registry.Instance) []placement.Ranked {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.board.Rank(of, r.remoteBias(), time.Now())
+	}
+	scouts := placement.NewScouts(ranked, r.Prompt, g.o.DataCentre)
+	for {
+		asked := scouts.Next()
+		if len(asked) == 0 {
+			break
+		}
+		g.askLoad(ctx, asked, scouts)
+		if scouts.Found(rank) || ctx.Err() != nil {
+			break
+		}
 	}
+	return scouts.Order(rank)
+}
+
+// askLoad asks engines for their load at the same time.
+func (g *Gateway) askLoad(ctx context.Context, asked []registry.Instance, scouts *placement.Scouts) {
 	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
 	type result struct {
@@ -194,7 +222,6 @@
 			results <- result{c, report, ok}
 		}()
 	}
-	var answered []registry.Instance
 	now := time.Now()
 	for range asked {
 		res := <-results
@@ -207,45 +234,9 @@
 			g.onBoard(func(b *placement.Board) { b.Gone(res.in.ID, now) })
 			go g.adopt(res.in)
 		default:
-			answered = append(answered, res.in)
+			scouts.Answered(res.in)
 		}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return placement.OrderScouted(g.board.Rank(answered, r.remoteBias(), now), g.board.Rank(rest, r.remoteBias(), now))
-}
-
-// pickScouts chooses the engines to ask. The prompt decides which engines of the
-// own data centre are asked, so that every daemon of the data centre looks for a
-// prompt in the same few places.
-func pickScouts(ranked []placement.Ranked, prompt, dataCentre string) (asked, rest []registry.Instance) {
-	ordered := byAffinity(ranked, prompt)
-	local, remote := 0, 0
-	var others []registry.Instance
-	for _, c := range ordered {
-		switch {
-		case c.Paused:
-			others = append(others, c.Instance)
-		case c.DataCentre == dataCentre && local < localScouts:
-			local++
-			asked = append(asked, c.Instance)
-		case c.DataCentre != dataCentre && remote < remoteScouts:
-			remote++
-			asked = append(asked, c.Instance)
-		default:
-			others = append(others, c.Instance)
-		}
-	}
-	return asked, others
-}
-
-// byAffinity orders engines by the rendezvous hash of the prompt.
-func byAffinity(ranked []placement.Ranked, prompt string) []placement.Ranked {
-	out := slices.Clone(ranked)
-	slices.SortStableFunc(out, func(a, b placement.Ranked) int {
-		return cmp.Compare(membership.Rendezvous(prompt, b.Address), membership.Rendezvous(prompt, a.Address))
-	})
-	return out
 }
 
 // findCached returns the engine that keeps most of a prompt whose stream the
@@ -257,7 +248,7 @@
 		return registry.Instance{}, false
 	}
 	var likely, others []registry.Instance
-	for _, c := range byAffinity(g.rank(r, nil), r.Prompt) {
+	for _, c := range placement.ByAffinity(g.rank(r, nil), r.Prompt) {
 		switch {
 		case c.DataCentre == g.o.DataCentre && len(likely) < cacheScouts:
 			likely = append(likely, c.Instance)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,8 +138,8 @@
 	return 500*time.Millisecond + time.Duration(g.pick()*float64(time.Second))
 }
 
-// run sends the stream to one upstream and passes its events on. It returns what
-// to do next; Wait for a complete stream.
+// run sends the stream to one upstream, where it is counted already, and passes its
+// events on. It returns what to do next; Wait for a complete stream.
 func (s *stream) run(ctx context.Context, p *place) failover.Step {
 	g := s.g
 	began := time.Now()
@@ -159,7 +159,6 @@
 	// firstEvent is the time to the first event of a run that read its prompt.
 	var firstEvent time.Duration
 	g.onBoard(func(b *placement.Board) {
-		b.Begin(p.in)
 		b.Asked(p.in.ID, began)
 		if reading {
 			b.Reading(p.in.ID, 1)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -153,6 +153,17 @@
 	s.inflight++
 }
 
+// Reserve counts a request that is sent to an upstream, unless all its places are
+// taken. Requests that looked for a place at the same time see each other only
+// here.
+func (b *Board) Reserve(in registry.Instance, now time.Time) bool {
+	if b.state(in.ID).taken(in, now) {
+		return false
+	}
+	b.Begin(in)
+	return true
+}
+
 // End counts the end of a request, whatever its outcome.
 func (b *Board) End(id string) {
 	if s := b.up[id]; s != nil && s.inflight > 0 {
@@ -302,8 +313,8 @@
 	// Crowded upstreams read a prompt of this daemon while most others are away:
 	// all streams of those would queue there.
 	Crowded bool
-	// Taken upstreams said a moment ago that they run as many requests as they
-	// have places.
+	// Taken upstreams run as many requests as they have places, by what they said a
+	// moment ago and what was sent to them since.
 	Taken bool
 	// Score is the expected load; lower is better.
 	Score float64
@@ -366,24 +377,10 @@
 	return slices.DeleteFunc(slices.Clone(ranked), func(r Ranked) bool { return r.Full || r.Crowded })
 }
 
-// OrderScouted orders upstreams of which some were asked for their load: those that
-// answered first, then the others, then those that answered that all places are
-// taken.
-func OrderScouted(answered, others []Ranked) []Ranked {
-	var free, taken []Ranked
-	for _, r := range answered {
-		if r.Taken {
-			taken = append(taken, r)
-		} else {
-			free = append(free, r)
-		}
-	}
-	return slices.Concat(free, others, taken)
-}
-
 func (s *state) taken(in registry.Instance, now time.Time) bool {
 	slots := s.slots(in)
-	return slots > 0 && !s.loadAt.IsZero() && now.Sub(s.loadAt) < answerWait && s.load.Running >= slots
+	running := s.load.Running + max(s.inflight-s.inflightAtLoad, 0)
+	return slots > 0 && !s.loadAt.IsZero() && now.Sub(s.loadAt) < answerWait && running >= slots
 }
 
 // slots is 0 when it is not said.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -194,14 +194,61 @@
 		for i := range all {
 			all[i].Slots = 8
 		}
-		b.Reported(all[0].ID, placement.Load{Running: 8}, now)
-		b.Reported(all[1].ID, placement.Load{Running: 7}, now)
-		ranked := func(of []registry.Instance) []placement.Ranked { return b.Rank(of, 0, now.Add(5*time.Millisecond)) }
-		order := placement.OrderScouted(ranked(all[:2]), ranked(all[2:]))
-		Expect(order).To(HaveLen(len(all)))
-		Expect(order[0].ID).To(Equal(all[1].ID))
-		Expect(order[len(order)-1].ID).To(Equal(all[0].ID))
-		Expect(b.Rank(all[:1], 0, now.Add(time.Second))[0].Taken).To(BeFalse(), "the report is old")
+		rank := func(of []registry.Instance) []placement.Ranked { return b.Rank(of, 0, now.Add(5*time.Millisecond)) }
+		scouts := placement.NewScouts(rank(all), "prompt", "here")
+		asked := scouts.Next()
+		b.Reported(asked[0].ID, placement.Load{Running: 8}, now)
+		b.Reported(asked[1].ID, placement.Load{Running: 7}, now)
+		scouts.Answered(asked[0])
+		scouts.Answered(asked[1])
+		order := scouts.Order(rank)
+		Expect(order).To(HaveLen(len(all) - len(asked) + 2))
+		Expect(order[0].ID).To(Equal(asked[1].ID))
+		Expect(order[len(order)-1].ID).To(Equal(asked[0].ID))
+		Expect(b.Rank(asked[:1], 0, now.Add(time.Second))[0].Taken).To(BeFalse(), "the report is old")
+	})
+
+	// Guards against streams that are refused because a few blind tries at full
+	// engines used up the daemon's repeats, while one that was not asked had places
+	// (soak seed 416698179). Questions cost no repeat.
+	It("asks further engines when all that answered are full", func() {
+		for i := range all {
+			all[i].Slots = 8
+			b.Reported(all[i].ID, placement.Load{Running: 8}, now)
+		}
+		rank := func(of []registry.Instance) []placement.Ranked { return b.Rank(of, 0, now.Add(5*time.Millisecond)) }
+		scouts := placement.NewScouts(rank(all), "prompt", "here")
+		first := scouts.Next()
+		Expect(first).To(HaveLen(5))
+		for _, in := range first {
+			scouts.Answered(in)
+		}
+		Expect(scouts.Found(rank)).To(BeFalse())
+		second := scouts.Next()
+		Expect(second).To(HaveLen(5))
+		Expect(first).NotTo(ContainElements(second))
+		b.Reported(second[3].ID, placement.Load{Running: 6}, now)
+		for _, in := range second {
+			scouts.Answered(in)
+		}
+		Expect(scouts.Found(rank)).To(BeTrue())
+		Expect(scouts.Order(rank)[0].ID).To(Equal(second[3].ID))
+		scouts.Next()
+		Expect(scouts.Next()).To(BeEmpty(), "a full service is not asked as a whole")
+	})
+
+	// Guards against streams that come together, as after the crash of a daemon, and
+	// all take the last place of the engine that each found best.
+	It("gives the last place to one of several that look at the same time", func() {
+		in := all[0]
+		in.Slots = 8
+		b.Reported(in.ID, placement.Load{Running: 7}, now)
+		at := now.Add(time.Millisecond)
+		Expect(b.Reserve(in, at)).To(BeTrue())
+		Expect(b.Reserve(in, at)).To(BeFalse())
+		Expect(b.Inflight(in.ID)).To(Equal(1))
+		b.End(in.ID)
+		Expect(b.Reserve(in, at)).To(BeTrue())
 	})
 
 	// Guards against thousands of tries at closed ports while a whole service is
