--- a/edge/publish.go
+++ b/edge/publish.go
@@ -42,14 +42,22 @@
 		for _, d := range e.gateway.CutoversDue(e.rank) {
 			e.gateway.CutoverWritten(d, e.writeCutover(ctx, d))
 		}
-		if counts, ok := e.gateway.CrashesDue(); ok {
-			ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-			err := e.putLeased(ctx, directory.CrashPrefix+e.o.Settings.Name, counts)
-			cancel()
-			e.gateway.CrashesPublished(err == nil)
-			telemetry.Part(e.o.Logger, "edge").Info("crashes published", "contents", len(counts), "cause", err)
-		}
+		e.publishCrashes(ctx)
+	}
+}
+
+// publishCrashes writes the counts of contents that crashed upstreams, if they
+// changed.
+func (e *Edge) publishCrashes(ctx context.Context) {
+	counts, ok := e.gateway.CrashesDue()
+	if !ok {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := e.putLeased(ctx, directory.CrashPrefix+e.o.Settings.Name, counts)
+	e.gateway.CrashesPublished(err == nil)
+	telemetry.Part(e.o.Logger, "edge").Info("crashes published", "contents", len(counts), "cause", err)
 }
 
 // putLeased writes a value that the store drops when this daemon is gone.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -48,10 +48,10 @@
 	return g.crashes.Quarantined(r.content(), time.Now())
 }
 
-// brokeOff finds out whether an upstream crashed as it began a run, and counts
-// that against the content. Upstreams of a data centre that crash together have
-// another cause.
-func (g *Gateway) brokeOff(ctx context.Context, r *request, in registry.Instance, began time.Time) {
+// countCrash counts a run that broke off at its begin against its content if the
+// upstream crashed. Upstreams of a data centre that crash together have another
+// cause.
+func (g *Gateway) countCrash(ctx context.Context, r *request, in registry.Instance, began time.Time) {
 	if !g.crashed(ctx, r, in) {
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -194,7 +194,7 @@
 		case m := <-messages:
 			if m.end {
 				if m.verdict == broken && s.runEvents <= maxFirstEvents {
-					g.brokeOff(ctx, s.r, p.in, began)
+					g.countCrash(ctx, s.r, p.in, began)
 				}
 				next := s.ended(*p, m, began)
 				if next == failover.Wait {
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -72,7 +72,7 @@
 		t.note(in, v, err, time.Since(began))
 		switch v {
 		case broken:
-			g.brokeOff(ctx, r, in, began)
+			g.countCrash(ctx, r, in, began)
 		case answered:
 			g.completed(r)
 			g.deliver(w, r, in, ans)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -27,11 +27,12 @@
 	return err
 }
 
-// HashOf returns the hash of a request: its service, its route or model, and
-// its body without any key of the caller.
-func HashOf(service, route string, body []byte) Hash {
+// HashOf returns the hash of a request: the service or account that it belongs to,
+// its target (a route, a model or a request line), and its body without any key of
+// the caller.
+func HashOf(scope, target string, body []byte) Hash {
 	d := sha256.New()
-	for _, s := range []string{service, route} {
+	for _, s := range []string{scope, target} {
 		// hash.Hash never returns an error.
 		_, _ = d.Write(binary.BigEndian.AppendUint32(nil, uint32(len(s))))
 		_, _ = d.Write([]byte(s))
