gateway, edge: log the evidence behind each decision of a cutover

The logs could not tell whether the daemon that reports 'completed' lacked outcomes, did not receive them or weighed them wrongly. Adds the outcomes by route to 'status write finished' and to the verdict, the version to 'upstream registered' and 'stream sent', and a counter of outcomes. No decision changes.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -13,6 +13,10 @@
 package cutover
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/internal/backoff"
@@ -292,6 +296,25 @@
 	return all > 0
 }
 
+// Outcomes returns the outcomes of all daemons by route, for logs: the numbers of bad
+// and of all outcomes of the target and of the other versions.
+func (c *Cutover) Outcomes() string {
+	sum := c.sum()
+	var b strings.Builder
+	for i, route := range slices.Sorted(maps.Keys(sum)) {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		cell := sum[route]
+		fmt.Fprintf(&b, "%s target %d/%d others %d/%d", route, cell.Target.Bad, cell.Target.total(), cell.Others.Bad, cell.Others.total())
+	}
+	return b.String()
+}
+
+// RequestsSeen returns the numbers of requests of the service at this daemon since
+// the order, and of those that it sent to the target.
+func (c *Cutover) RequestsSeen() (all, target int) { return c.requests, c.targetRequests }
+
 // BadRoute returns the route on which the target was found bad; empty if it was not
 // found bad.
 func (c *Cutover) BadRoute() string { return c.badRoute }
--- a/directory/state.go
+++ b/directory/state.go
@@ -225,7 +225,7 @@
 	}
 	s.registry.Put(in)
 	s.log.Info("upstream registered", "upstream", in.ID, "service", in.Service, "data_centre", in.DataCentre,
-		"draining", in.Draining, "revision", e.Index)
+		"version", in.Version, "draining", in.Draining, "revision", e.Index)
 	return true
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -58,3 +58,16 @@
 func countStreamMove(step string) {
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_stream_moves_total{step="` + step + `"}`).Inc()
 }
+
+// countCutoverOutcome counts the outcomes of requests to a service that is being
+// moved to another version.
+func countCutoverOutcome(target, bad bool) {
+	version, outcome := "others", "good"
+	if target {
+		version = "target"
+	}
+	if bad {
+		outcome = "bad"
+	}
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_cutover_outcomes_total{version="` + version + `",outcome="` + outcome + `"}`).Inc()
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -156,7 +156,7 @@
 	s.runEvents = 0
 	s.state.Sent(began, p.copyTo.ID != "")
 	view := g.o.Directory.View()
-	g.o.Logger.Info("stream sent", "id", s.r.ID, "upstream", p.upstream.ID, "data_centre", p.upstream.DataCentre, "copy", p.copyTo.ID,
+	g.o.Logger.Info("stream sent", "id", s.r.ID, "upstream", p.upstream.ID, "version", p.upstream.Version, "data_centre", p.upstream.DataCentre, "copy", p.copyTo.ID,
 		"restore", p.restoreFrom != nil, "after", s.lastEventID, "left", s.r.timeLeft(began), "revision", view.Revision,
 		"directory_age", g.o.Directory.Content().Age())
 	readingPrompt := p.restoreFrom == nil
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -37,7 +37,8 @@
 	before := c.BadRoute()
 	f()
 	if before == "" && c.BadRoute() != "" {
-		g.o.Logger.Warn("target version of a cutover is bad", "service", c.Order().Service, "version", c.Order().Target, "route", c.BadRoute())
+		g.o.Logger.Warn("target version of a cutover is bad", "service", c.Order().Service, "version", c.Order().Target, "route", c.BadRoute(),
+			"state", c.State(), "outcomes", c.Outcomes())
 	}
 }
 
@@ -46,6 +47,10 @@
 	Service string
 	Target  string
 	cutover.Write
+	// Outcomes describes the evidence of all daemons; Requests and TargetRequests
+	// are the numbers that this daemon served since the order.
+	Outcomes                 string
+	Requests, TargetRequests int
 }
 
 // PendingCutoverWrites returns what has to be written to the store now. The
@@ -58,7 +63,9 @@
 	for service, c := range g.cutovers {
 		w := c.NextWrite(time.Now(), rank(service))
 		if w.State != "" || w.Evidence != nil {
-			out = append(out, PendingWrite{Service: service, Target: c.Order().Target, Write: w})
+			p := PendingWrite{Service: service, Target: c.Order().Target, Write: w, Outcomes: c.Outcomes()}
+			p.Requests, p.TargetRequests = c.RequestsSeen()
+			out = append(out, p)
 		}
 	}
 	return out
@@ -132,7 +139,9 @@
 	usual := g.usualLatency[r.route.Name]
 	c := g.cutovers[r.service]
 	if c != nil {
-		g.withVerdictLogged(c, func() { c.RecordOutcome(r.route.Name, in.Version, failed || cutover.IsSlow(took, usual), time.Now()) })
+		bad := failed || cutover.IsSlow(took, usual)
+		countCutoverOutcome(in.Version == c.Order().Target, bad)
+		g.withVerdictLogged(c, func() { c.RecordOutcome(r.route.Name, in.Version, bad, time.Now()) })
 	}
 	if failed || c != nil && in.Version == c.Order().Target {
 		return
