cutover: go on with an order after a restart

Found while looking for the cause of EXPOSURE elsewhere: a daemon that restarts during an order took it for a new one. Its outcomes were lost, because its next publication replaced them in the store; its part of the exposure began anew; and its time limit began at the restart, so that the order of a fleet that was killed ended after its limit.

The evidence now says how long the daemon has known the order, and a daemon takes over the greatest age and its own earlier outcomes. The first three daemons by rank publish every second, so that the age is known to about a second.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -97,6 +97,10 @@
 	// publishInterval is the minimum time between two publications of a daemon,
 	// because calls to the store have a cost.
 	publishInterval = 400 * time.Millisecond
+	// agePublishers daemons publish at least every agePublishInterval, so that daemons
+	// which restart learn the age of the order.
+	agePublishers      = 3
+	agePublishInterval = time.Second
 	// writeRetry and maxWriteRetry are the first and the longest pause after failed
 	// writes; the pause doubles in between. Refused calls have a cost too, and the
 	// status must be written within a second after an outage of the store.
@@ -170,10 +174,48 @@
 		c.peerSum.add(c.peerEvidence[daemon], -1)
 		c.peerSum.add(e, 1)
 		c.peerEvidence[daemon] = e
+		c.startedBefore(e, now)
 		c.judge(now)
 	}
 }
 
+// startedBefore takes over the age of the order from evidence that was read at now,
+// if another daemon or an earlier process has known the order for longer.
+func (c *Cutover) startedBefore(e Evidence, now time.Time) {
+	if at := now.Add(-time.Duration(e.ElapsedMs) * time.Millisecond); at.Before(c.startedAt) {
+		c.startedAt = at
+	}
+}
+
+// Resume takes over the evidence that an earlier process of this daemon published,
+// which the evidence of this process replaces in the store. Its outcomes also count
+// towards the exposure. It has to be called before the first request.
+func (c *Cutover) Resume(e Evidence, now time.Time) {
+	if e.Order != c.order.Revision {
+		return
+	}
+	c.startedBefore(e, now)
+	c.ownEvidence.add(e, 1)
+	for _, cells := range c.ownEvidence.Phases {
+		for route, cell := range cells {
+			// These requests ended with the process.
+			cell.Waiting = 0
+			cells[route] = cell
+		}
+	}
+	for route, cell := range c.ownEvidence.since(0) {
+		c.targetRequests[route] += cell.Target.total()
+		c.requests[route] += cell.Target.total()
+	}
+	for route, rate := range e.Rates {
+		if _, known := c.priorRates[route]; !known {
+			c.priorRates[route] = rate
+		}
+	}
+	c.unpublished = true
+	c.judge(now)
+}
+
 // Choose decides whether a new request of a route goes to the target. draw is
 // uniform in [0, 1), and daemons is the number of daemons that take requests. Until
 // the target is completed, each daemon limits it to a share of its own requests plus
@@ -403,9 +445,10 @@
 	case c.status.State == "" && due(0):
 		w.State = Running
 	}
-	if c.unpublished && now.Sub(c.publishedAt) >= publishInterval {
+	tellAge := rank < agePublishers && now.Sub(c.publishedAt) >= agePublishInterval
+	if c.unpublished && now.Sub(c.publishedAt) >= publishInterval || tellAge {
 		e := c.ownEvidence.clone()
-		e.Rates = c.rates(now)
+		e.Rates, e.ElapsedMs = c.rates(now), now.Sub(c.startedAt).Milliseconds()
 		w.Evidence = &e
 		c.publishedAt, c.unpublished = now, false
 	}
--- a/cutover/cutover_test.go
+++ b/cutover/cutover_test.go
@@ -31,10 +31,14 @@
 	pending []func()
 	target  int
 	all     int
+	// exposed is the number of requests to the target when the order ended.
+	exposed int
 	// latency is the time to an ordinary outcome; a slow one counts as bad after
 	// three times as long.
 	latency time.Duration
 	due     []dueOutcome
+	// onEvidence is called with what a daemon publishes; nil is ignored.
+	onEvidence func(daemon int, e cutover.Evidence)
 }
 
 // dueOutcome is recorded at a time.
@@ -117,6 +121,9 @@
 		if w.State != "" && w.StatusRevision == f.status.Revision {
 			f.revision++
 			f.status = cutover.Status{Target: "v2", State: w.State, Revision: f.revision}
+			if w.State != cutover.Running {
+				f.exposed = f.target
+			}
 			s := f.status
 			f.later(func() {
 				for _, d := range f.daemons {
@@ -126,6 +133,9 @@
 		}
 		if w.Evidence != nil {
 			e, name := *w.Evidence, fmt.Sprint("d", i)
+			if f.onEvidence != nil {
+				f.onEvidence(i, e)
+			}
 			f.later(func() {
 				for j, d := range f.daemons {
 					if j != i {
@@ -357,6 +367,62 @@
 			"orders": {perSecond: 38}, "stock": {perSecond: 15}, "broken": {perSecond: 1.5, broken: true}}),
 	)
 
+	// Guards against daemons that restart during an order and take it for a new one:
+	// the target's exposure began anew, and the order ended after its time limit.
+	It("goes on with an order after a restart of all daemons", func() {
+		for seed := range uint64(20) {
+			loads := map[string]load{"common": {perSecond: 5.7}, "rare": {perSecond: 0.53}}
+			f := newFleetWithTraffic(9, 30*time.Second, seed, loads)
+			f.latency = time.Second
+			limit := f.order.TimeLimit
+			f.order.TimeLimit = 10 * time.Second // serve until the restart
+			published := make([]cutover.Evidence, len(f.daemons))
+			f.onEvidence = func(daemon int, e cutover.Evidence) { published[daemon] = e }
+			f.serve(loads)
+			f.order.TimeLimit = limit
+			before := f.target
+			Expect(before).To(BeNumerically(">", 0))
+			f.due, f.pending = nil, nil
+			for i := range f.daemons {
+				c := cutover.New(f.order, nil, f.rnd.Float64(), f.now)
+				c.Resume(published[i], f.now)
+				c.SetStatus(f.status)
+				f.daemons[i] = c
+			}
+			for i, c := range f.daemons {
+				for j, e := range published {
+					if j != i {
+						c.SetEvidence(fmt.Sprint("d", j), e, f.now)
+					}
+				}
+			}
+			// The rest of the time limit, and the time since the last publication by which
+			// the age of the order may be wrong.
+			f.order.TimeLimit = 20*time.Second + 1500*time.Millisecond
+			f.serve(loads)
+			Expect(f.status.State).To(BeElementOf(cutover.Completed, cutover.Reverted), "seed %d", seed)
+			Expect(float64(f.exposed)).To(BeNumerically("<=", 0.1*float64(f.all)+50), "seed %d", seed)
+		}
+	})
+
+	// Guards against a verdict that is lost with the daemons that knew it.
+	It("finds a target bad by the outcomes of an earlier process", func() {
+		f := newFleet(1, 15*time.Second, 1)
+		c := f.daemons[0]
+		for range 3 {
+			c.RecordOutcome("r", "v2", true, f.now, f.now)
+		}
+		published := *c.NextWrite(f.now.Add(time.Second), 0).Evidence
+		next := cutover.New(f.order, nil, 0, f.now.Add(2*time.Second))
+		next.Resume(published, f.now.Add(2*time.Second))
+		Expect(next.BadRoute()).To(Equal("r"))
+		stale := published
+		stale.Order = 30
+		other := cutover.New(f.order, nil, 0, f.now.Add(2*time.Second))
+		other.Resume(stale, f.now.Add(2*time.Second))
+		Expect(other.BadRoute()).To(BeEmpty(), "evidence of an earlier order")
+	})
+
 	// Guards against good versions that go back because a route that was removed by a
 	// new configuration gets no requests any more.
 	It("needs no examination on a route that was removed", func() {
--- a/cutover/evidence.go
+++ b/cutover/evidence.go
@@ -144,6 +144,9 @@
 	Phases []map[string]Cell `json:"phases"`
 	// Rates holds the requests per second of each route.
 	Rates map[string]float64 `json:"rates"`
+	// ElapsedMs is how long the daemon had known the order when it published the
+	// evidence, in milliseconds.
+	ElapsedMs int64 `json:"elapsed_ms"`
 }
 
 func newEvidence(order uint64) Evidence {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -21,6 +21,7 @@
 		if c == nil || c.Order() != seen.Order {
 			c = cutover.New(seen.Order, g.meter(service).Traffic(now), g.rnd.Float64(), now)
 			g.cutovers[service] = c
+			g.withVerdictLogged(c, func() { c.Resume(seen.Evidence[g.o.Name], now) })
 		}
 		if v.Table != nil {
 			c.RetainRoutes(func(route string) bool { return v.Table.Sends(route, service) })
