quarantine: find prompt parts that crash upstreams

Cause: the quarantine knows whole contents only. Requests that share one part of their prompts differ in everything else, so each of them crashed up to four engines by itself.

Change: quarantine.PartLog. A crash makes all shared parts of the run suspects, at all daemons, through the store. A part is cleared when an engine answers under it at any daemon. A run that reads its prompt is given up when its part is found. The log names the parts, and a crash that was not counted has a line.

Why it works: what the requests have in common is counted, not the requests.

--- a/directory/state.go
+++ b/directory/state.go
@@ -42,6 +42,10 @@
 // contents crashed upstreams: CrashPrefix + daemon.
 const CrashPrefix = "gooseberryroad/crashes/"
 
+// PartPrefix is the prefix of the keys at which daemons publish which parts of
+// prompts crashed upstreams: PartPrefix + daemon.
+const PartPrefix = "gooseberryroad/parts/"
+
 // maxRecentChanges is the number of changes kept for daemons that follow this
 // one; up to twice as many are kept before the oldest are dropped. A daemon that
 // is further behind gets a snapshot.
@@ -69,6 +73,9 @@
 	// Crashes holds, for each request content, the largest number of crashes that
 	// one daemon published.
 	Crashes map[quarantine.Hash]int
+	// PartReports holds what daemons published of prompt parts that crash upstreams, by
+	// the daemon's name.
+	PartReports map[string]PartReport
 	// Peers holds the names of the registered daemons.
 	Peers []string
 	// Daemons is the number of registered daemons, this one included; at least 1.
@@ -88,6 +95,13 @@
 	Evidence map[string]cutover.Evidence
 }
 
+// PartReport is a daemon's report at a revision of the store, read at a time.
+type PartReport struct {
+	Report   quarantine.PartReport
+	Revision uint64
+	ReadAt   time.Time
+}
+
 // state is the decoded content of the store. It is owned by the goroutine of a
 // Follower.
 type state struct {
@@ -117,7 +131,9 @@
 	evidence     map[string]map[string]cutover.Evidence
 	// crashes holds the crash counts that daemons published, by key.
 	crashes map[string]map[quarantine.Hash]int
-	dirty   bool
+	// partReports holds the reports on prompt parts, by the daemon's name.
+	partReports map[string]PartReport
+	dirty       bool
 }
 
 func newState(d Decoder, log *slog.Logger) *state {
@@ -125,7 +141,7 @@
 		log: log, decoder: d, entries: map[string]store.Entry{},
 		registry: registry.New(), peers: map[string]sources.Peer{},
 		orders: map[string]cutover.Order{}, statuses: map[string]cutover.Status{}, evidence: map[string]map[string]cutover.Evidence{},
-		crashes: map[string]map[quarantine.Hash]int{},
+		crashes: map[string]map[quarantine.Hash]int{}, partReports: map[string]PartReport{},
 	}
 }
 
@@ -188,6 +204,7 @@
 	case s.putPeer(e):
 	case s.putCutover(e):
 	case s.putCrashes(e):
+	case s.putPartReport(e, now):
 	default:
 		return
 	}
@@ -259,6 +276,21 @@
 	return true
 }
 
+func (s *state) putPartReport(e store.Entry, now time.Time) bool {
+	daemon, ok := strings.CutPrefix(e.Key, PartPrefix)
+	if !ok {
+		return false
+	}
+	r := PartReport{Revision: e.Index, ReadAt: now}
+	if err := json.Unmarshal(e.Value, &r.Report); err != nil {
+		s.log.Warn("report of a daemon on prompt parts cannot be read", "daemon", daemon, "cause", err)
+		return true
+	}
+	s.partReports[daemon] = r
+	s.dirty = true
+	return true
+}
+
 // putCutover stores orders to move a service, their status and the daemons'
 // evidence.
 func (s *state) putCutover(e store.Entry) bool {
@@ -321,6 +353,11 @@
 		s.dirty = true
 		return
 	}
+	if daemon, ok := strings.CutPrefix(key, PartPrefix); ok {
+		delete(s.partReports, daemon)
+		s.dirty = true
+		return
+	}
 	s.removeCutover(e)
 	if in, ok, _ := s.decoder.Instance(e); ok {
 		s.registry.Remove(in.ID, now)
@@ -351,6 +388,7 @@
 			v.Crashes[h] = max(v.Crashes[h], n)
 		}
 	}
+	v.PartReports = maps.Clone(s.partReports)
 	for service, o := range s.orders {
 		v.Cutovers[service] = Cutover{Order: o, Status: s.statuses[service], Evidence: maps.Clone(s.evidence[service])}
 	}
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -43,6 +43,7 @@
 			e.gateway.RecordCutoverWrite(w, e.writeCutover(ctx, w))
 		}
 		e.publishCrashes(ctx)
+		e.publishPartReport(ctx)
 	}
 }
 
@@ -60,6 +61,20 @@
 	telemetry.WithPart(e.o.Logger, "edge").Info("crashes published", "contents", len(counts), "cause", err)
 }
 
+// publishPartReport writes which parts of prompts crashed upstreams, and which of
+// them other upstreams answer, if that changed.
+func (e *Edge) publishPartReport(ctx context.Context) {
+	report, ok := e.gateway.PendingPartReport()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := e.putLeased(ctx, directory.PartPrefix+e.o.Settings.Name, report)
+	e.gateway.RecordPartPublish(err == nil)
+	telemetry.WithPart(e.o.Logger, "edge").Info("prompt parts published", "crashes", len(report.Crashes), "sound", len(report.Sound), "cause", err)
+}
+
 // putLeased writes a value that the store deletes when the lease of this daemon
 // ends.
 func (e *Edge) putLeased(ctx context.Context, key string, value any) error {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
@@ -21,6 +25,9 @@
 	// crash is still attributed to the run's content: content that crashes
 	// upstreams crashes each one as it begins the run.
 	maxEventsBeforeCrash = 1
+	// eventsPastCrash is the number of events of a run after which the run is past
+	// the point at which a part of a prompt crashes upstreams.
+	eventsPastCrash = 3
 	// crashCheckTimeout bounds the check of an upstream that broke off. It fits
 	// into the pause between events that a stream may have.
 	crashCheckTimeout = 60 * time.Millisecond
@@ -40,15 +47,41 @@
 	return *r.cachedHash
 }
 
-// quarantineTimeLeft returns how long a request must not run because its
-// content crashes upstreams; 0 if it may run.
-func (g *Gateway) quarantineTimeLeft(r *request) time.Duration {
+// sharedParts identifies the parts of the prompt that other requests may have too. A
+// part may crash the upstreams of one service and not those of another.
+func (r *request) sharedParts() []quarantine.Hash {
+	if r.cachedParts == nil {
+		for _, id := range r.SharedPartIDs {
+			r.cachedParts = append(r.cachedParts, quarantine.HashOf(r.service, id, nil))
+		}
+	}
+	return r.cachedParts
+}
+
+// quarantineTimeLeft returns how long a request must not run because its content,
+// or a part of its prompt, crashes upstreams, and which; 0 if it may run.
+func (g *Gateway) quarantineTimeLeft(r *request) (time.Duration, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.crashes.Empty() {
-		return 0
+	now := time.Now()
+	if !g.crashes.Empty() {
+		if left := g.crashes.Quarantined(r.contentHash(), now); left > 0 {
+			return left, eris.Errorf("content %s crashes upstreams", r.contentHash())
+		}
 	}
-	return g.crashes.Quarantined(r.contentHash(), time.Now())
+	if !g.partCrashes.Empty() {
+		if left, part := g.partCrashes.Quarantined(r.sharedParts(), now); left > 0 {
+			return left, eris.Errorf("prompt part %s crashes upstreams", part)
+		}
+	}
+	return 0, nil
+}
+
+// mustStop reports whether a request must not be sent again or go on, because
+// it crashes upstreams.
+func (g *Gateway) mustStop(r *request) bool {
+	left, _ := g.quarantineTimeLeft(r)
+	return left > 0
 }
 
 // recordCrash counts a crash against the content of a run that broke off at its
@@ -60,9 +93,14 @@
 		return
 	}
 	now := time.Now()
+	g.mu.Lock()
+	g.partCrashes.Crashed(in.ID, r.sharedParts(), now)
+	g.mu.Unlock()
 	together := false
 	g.withTracker(func(b *placement.Tracker) { together = b.GroupFailing(in, now) })
 	if together {
+		g.o.Logger.Info("upstream crashed together with others of its data centre", "id", r.ID, "upstream", in.ID,
+			"data_centre", in.DataCentre, "parts", r.sharedParts())
 		return
 	}
 	g.mu.Lock()
@@ -70,7 +108,7 @@
 	pause := g.crashes.Quarantined(r.contentHash(), now)
 	g.mu.Unlock()
 	g.o.Logger.Info("upstream crashed as it began a request", "id", r.ID, "upstream", in.ID, "data_centre", in.DataCentre,
-		"content", r.contentHash().String(), "crashes", count, "quarantined_for", pause)
+		"content", r.contentHash().String(), "crashes", count, "quarantined_for", pause, "parts", r.sharedParts())
 }
 
 // crashed reports whether an upstream refuses a new connection or closes it
@@ -95,9 +133,21 @@
 	return ctx.Err() == nil && !errors.Is(err, upstream.ErrConnectTimeout)
 }
 
+// recordAnswering notes that an upstream is past the beginning of its answer to a
+// request, so that no part of the prompt crashes upstreams.
+func (g *Gateway) recordAnswering(r *request) {
+	if len(r.SharedPartIDs) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.partCrashes.Answered(r.sharedParts(), time.Now())
+}
+
 // recordCompletion notes that an upstream ran a request to its end, so that
 // earlier crashes no longer count against its content.
 func (g *Gateway) recordCompletion(r *request) {
+	g.recordAnswering(r)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.crashes.Empty() {
@@ -113,6 +163,38 @@
 	return g.crashes.Due(time.Now())
 }
 
+// PendingPartReport returns what to publish of prompt parts that crash upstreams;
+// false if there is nothing new.
+func (g *Gateway) PendingPartReport() (quarantine.PartReport, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.partCrashes.Due(time.Now())
+}
+
+// RecordPartPublish notes whether the store accepted the published report.
+func (g *Gateway) RecordPartPublish(ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.partCrashes.Published(ok, time.Now())
+}
+
+// updatePartReports takes over what other daemons, and an earlier process of this
+// one, published of prompt parts. The caller holds g.mu.
+func (g *Gateway) updatePartReports(v *directory.View) {
+	if v.Ready && !g.partCrashesResumed {
+		g.partCrashesResumed = true
+		g.partCrashes.Resume(v.PartReports[g.o.Name].Report, v.PartReports[g.o.Name].ReadAt)
+	}
+	g.partCrashes.Retain(func(daemon string) bool { _, ok := v.PartReports[daemon]; return ok })
+	for daemon, r := range v.PartReports {
+		if daemon != g.o.Name && g.partReportRevisions[daemon] != r.Revision {
+			g.partReportRevisions[daemon] = r.Revision
+			g.partCrashes.Merge(daemon, r.Report, r.ReadAt)
+		}
+	}
+	maps.DeleteFunc(g.partReportRevisions, func(daemon string, _ uint64) bool { _, ok := v.PartReports[daemon]; return !ok })
+}
+
 // RecordCrashPublish notes whether the store accepted the published counts.
 func (g *Gateway) RecordCrashPublish(ok bool) {
 	g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,11 @@
 	// crashes counts the upstreams that crashed as they began to run the same
 	// content.
 	crashes *quarantine.CrashLog
+	// partCrashes finds parts of prompts that crash upstreams. partReportRevisions
+	// holds the revisions of the reports of other daemons that it has.
+	partCrashes         *quarantine.PartLog
+	partReportRevisions map[string]uint64
+	partCrashesResumed  bool
 	// adopted holds the engines that are used in place of registered ones at the
 	// same address. adoptionsRunning holds the IDs of registered engines for which
 	// adopt is running.
@@ -54,9 +59,10 @@
 		o: o, started: time.Now(), rnd: o.Rand,
 		tracker: placement.NewTracker(o.DataCentre, o.Rand),
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
-		meters:           map[string]*cutover.Meter{},
-		heldBodies:       byteLimiter{limit: o.MaxHeldBodyBytes},
-		crashes:          quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
+		meters:      map[string]*cutover.Meter{},
+		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes},
+		crashes:     quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
+		partCrashes: quarantine.NewPartLog(quarantine.PartLogOptions{}), partReportRevisions: map[string]uint64{},
 		adoptionsRunning: map[string]bool{}, usualLatency: map[string]time.Duration{},
 	}
 }
@@ -96,6 +102,7 @@
 	g.forgetRemovedRoutes(v)
 	g.adopted.DropUnregistered(v.All)
 	g.crashes.Merge(v.Crashes, time.Now())
+	g.updatePartReports(v)
 }
 
 // forgetRemovedRoutes deletes the latencies and rates of routes that are no longer
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -39,6 +39,8 @@
 	version  int64
 	// cachedHash is computed by contentHash when it is first needed.
 	cachedHash *quarantine.Hash
+	// cachedParts is computed by sharedParts when it is first needed.
+	cachedParts []quarantine.Hash
 	// useTargetVersion says that the request goes to the version to which its
 	// service is being moved.
 	useTargetVersion bool
@@ -122,13 +124,14 @@
 	return r, nil
 }
 
-// refuseQuarantined refuses a request whose content crashed too many upstreams.
+// refuseQuarantined refuses a request whose content, or a part of whose prompt,
+// crashed too many upstreams.
 func (g *Gateway) refuseQuarantined(r *request) *refusal {
-	timeLeft := g.quarantineTimeLeft(r)
+	timeLeft, cause := g.quarantineTimeLeft(r)
 	if timeLeft == 0 {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, code: codeQuarantined, retryAfter: timeLeft}
+	return &refusal{status: http.StatusServiceUnavailable, code: codeQuarantined, retryAfter: timeLeft, cause: cause}
 }
 
 // admitWhileDraining refuses a request that the stop of the daemon would cut. If
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -27,6 +27,9 @@
 	// PromptPartID identifies the last part of the prompt, which belongs to this
 	// request or its session alone; empty if there is none.
 	PromptPartID string
+	// SharedPartIDs identify the other parts of the prompt, which other requests may
+	// have too, in their order.
+	SharedPartIDs []string
 	// Header holds the fields that are forwarded, without those that the gateway
 	// sets itself.
 	Header http.Header
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,7 +78,7 @@
 	p, ok := s.findUpstream(ctx)
 	for ok {
 		step := s.run(ctx, &p)
-		if step != failover.StepWait && g.quarantineTimeLeft(r) > 0 {
+		if step != failover.StepWait && g.mustStop(r) {
 			step, s.stopReason = failover.StepGiveUp, codeQuarantined
 		}
 		switch step {
@@ -221,6 +221,9 @@
 				return failover.StepGiveUp
 			}
 			s.runEvents++
+			if s.runEvents == eventsPastCrash {
+				g.recordAnswering(s.r)
+			}
 			s.state.Delivered(time.Now())
 			if !accepted {
 				accepted = true
@@ -243,6 +246,10 @@
 				g.recordOutcome(s.r, p.upstream, true, began)
 				settle()
 			}
+			if s.runEvents == 0 && g.mustStop(s.r) {
+				s.stopReason = codeQuarantined
+				return failover.StepGiveUp
+			}
 			runCopier.check(runCtx, p, copyResults)
 		case c := <-copyResults:
 			runCopier.recordResult(p, c)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -123,7 +123,7 @@
 		t.stopReason = "attempts_used"
 		return registry.Instance{}, false
 	}
-	if t.runs > 0 && t.g.quarantineTimeLeft(t.r) > 0 {
+	if t.runs > 0 && t.g.mustStop(t.r) {
 		t.stopReason = codeQuarantined
 		return registry.Instance{}, false
 	}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -41,7 +41,8 @@
 //
 // State serves daemons that are connected to each other. CrashLog serves daemons
 // that share only the platform's store, where each message is a priced call and
-// a stream cannot wait for a trial: it counts successive crashes instead.
+// a stream cannot wait for a trial: it counts successive crashes instead. PartLog
+// does the same for parts of prompts that different requests share.
 //
 //gooseberryroad:pure
 package quarantine
