upstream, sse, gateway: bound answers that do not end

Reported of systems like ours: an upstream in trouble sends bytes without end in a head or a body.

Class: input of an upstream that is bounded by time only. Change: a head has 64 KB, a skipped response 1 MB; bytes without an ID go out only with the next event that has one, within the bound of one event; long response bodies reserve their bytes from the same limit as request bodies; a failure answer of a stream has 64 KB, and a longer one is no longer cut to the limit and passed on as whole.

Looked for elsewhere: the control calls to engines, the store's client and the product's own engine module have a bound already.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,6 +116,45 @@
 	})
 })
 
+// zeros is a body that does not end.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
+
+var _ = ginkgo.Describe("A response body", func() {
+	// Guards against an upstream in trouble that sends a body without end: the daemon
+	// would be killed because it uses too much memory.
+	ginkgo.It("is given up if it does not end or does not fit into the memory", func() {
+		l := byteLimiter{limit: 40 << 20}
+		_, reserved, err := l.readResponse(zeros{})
+		Expect(err).To(HaveOccurred())
+		Expect(reserved).To(BeNumerically("<=", 2*maxResponseBytes))
+		_, more, err := l.readResponse(zeros{})
+		Expect(err).To(HaveOccurred())
+		Expect(l.held.Load()).To(Equal(reserved + more))
+		Expect(l.held.Load()).To(BeNumerically("<=", l.limit))
+		l.release(reserved + more)
+		l.limit = 100 << 10
+		_, reserved, err = l.readResponse(zeros{})
+		Expect(err).To(HaveOccurred())
+		Expect(reserved).To(BeNumerically("<=", l.limit))
+	})
+
+	// Guards against sound responses that are given up or changed.
+	ginkgo.It("is read whole up to the limit, and without a reservation when it is short", func() {
+		l := byteLimiter{limit: 40 << 20}
+		for _, size := range []int{0, 800, freeResponseBytes, freeResponseBytes + 1, 3*freeResponseBytes + 7, maxResponseBytes} {
+			want := strings.Repeat("ab", size/2+1)[:size]
+			b, reserved, err := l.readResponse(strings.NewReader(want))
+			Expect(err).NotTo(HaveOccurred(), "size %d", size)
+			Expect(string(b) == want).To(BeTrue(), "size %d", size)
+			Expect(reserved > 0).To(Equal(size > freeResponseBytes), "size %d", size)
+			l.release(reserved)
+		}
+		Expect(l.held.Load()).To(BeZero())
+	})
+})
+
 var _ = ginkgo.Describe("Held bodies", func() {
 	// Guards against a daemon that is killed because it uses too much memory.
 	ginkgo.It("stay within the limit and are counted until they are released", func() {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -41,6 +41,8 @@
 	cachedHash *quarantine.Hash
 	// cachedParts is computed by sharedParts when it is first needed.
 	cachedParts []quarantine.Hash
+	// heldResponseBytes is what is reserved for responses until the request ends.
+	heldResponseBytes int64
 	// useTargetVersion says that the request goes to the version to which its
 	// service is being moved.
 	useTargetVersion bool
@@ -91,6 +93,7 @@
 		g.serveStream(ctx, w, r)
 		return
 	}
+	defer func() { g.heldBodies.release(r.heldResponseBytes) }()
 	g.serveBuffered(ctx, w, r)
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -415,7 +415,10 @@
 
 // readFailure reads a response that is not an event stream.
 func (s *stream) readFailure(status int, h http.Header, body io.Reader, head ResponseHead) runMessage {
-	b, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	b, err := io.ReadAll(io.LimitReader(body, freeResponseBytes+1))
+	if err == nil && len(b) > freeResponseBytes {
+		err = eris.Errorf("failure response is longer than %d bytes", freeResponseBytes)
+	}
 	cause := eris.Errorf("upstream responded with status %d", status)
 	switch {
 	case head.Misdirected:
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -256,12 +255,10 @@
 	}
 	defer resp.Body.Close()
 	head := g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
+	body, reserved, err := g.heldBodies.readResponse(resp.Body)
+	r.heldResponseBytes += reserved
+	if err != nil {
 		return nil, verdictBroken, eris.Wrap(err, "read the response body")
-	case len(body) > maxResponseBytes:
-		return nil, verdictBroken, eris.Errorf("response is longer than %d bytes", maxResponseBytes)
 	}
 	now := time.Now()
 	if head.Load != nil {
--- a/sse/raw.go
+++ b/sse/raw.go
@@ -13,10 +13,11 @@
 const MaxRawEventBytes = 256 << 10
 
 // RawEvent is one event with its bytes as they arrived, including the empty
-// line that ends it.
+// line that ends it. Comments, empty lines and events without an ID belong to the next
+// event, so that bytes of an upstream in trouble are not taken for progress.
 type RawEvent struct {
 	Bytes []byte
-	// ID is the number in the id field; 0 if there is none.
+	// ID is the number in the id field; 0 for what follows the last event with an ID.
 	ID int64
 }
 
@@ -34,25 +35,32 @@
 // events, and io.ErrUnexpectedEOF if it ends inside one.
 func (e *RawReader) Next() (RawEvent, error) {
 	var ev RawEvent
+	// lineStart is where the current line begins in ev.Bytes, inside says that the
+	// lines since the last empty one are not ended.
+	lineStart, inside := 0, false
 	for {
-		line, err := e.r.ReadSlice('\n')
-		ev.Bytes = append(ev.Bytes, line...)
+		part, err := e.r.ReadSlice('\n')
+		ev.Bytes = append(ev.Bytes, part...)
 		if len(ev.Bytes) > MaxRawEventBytes {
-			return RawEvent{}, eris.Errorf("event is longer than %d bytes", MaxRawEventBytes)
+			return RawEvent{}, eris.Errorf("no event with an ID in %d bytes", MaxRawEventBytes)
 		}
 		switch {
 		case err == bufio.ErrBufferFull:
 			continue
-		case err == io.EOF && len(ev.Bytes) > 0:
+		case err == io.EOF && (inside || lineStart < len(ev.Bytes)):
 			return RawEvent{}, io.ErrUnexpectedEOF
+		case err == io.EOF && len(ev.Bytes) > 0:
+			return ev, nil
 		case err != nil:
 			return RawEvent{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(ev.Bytes[lineStart:], "\r\n")
+		lineStart = len(ev.Bytes)
+		inside = len(line) > 0
+		if !inside && ev.ID != 0 {
 			return ev, nil
 		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				ev.ID = id
 			}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -31,6 +31,17 @@
 // flight.
 const readBufferBytes = 4 << 10
 
+// maxHeadBytes bounds the head of a response, and what is read of its body together
+// with it.
+const maxHeadBytes = 64 << 10
+
+// maxSkippedBytes bounds the body of a response to another request, which is read
+// only so that the next response can be.
+const maxSkippedBytes = 1 << 20
+
+// errHeadTooLong reports a response whose head is longer than maxHeadBytes.
+var errHeadTooLong = errors.New("response head is too long")
+
 // ErrNotSent reports that no byte of a request was sent, so that the request
 // has not run.
 var ErrNotSent = errors.New("request was not sent")
@@ -68,6 +79,7 @@
 type conn struct {
 	net.Conn
 	addr      string
+	input     *boundedReader
 	br        *bufio.Reader
 	idleSince time.Time
 	expires   time.Time
@@ -75,7 +87,32 @@
 }
 
 func newConn(nc net.Conn, addr string) *conn {
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferBytes)}
+	input := &boundedReader{r: nc}
+	return &conn{Conn: nc, addr: addr, input: input, br: bufio.NewReaderSize(input, readBufferBytes)}
+}
+
+// boundedReader fails with errHeadTooLong once it has read as many bytes as limit
+// allowed, until unlimit is called.
+type boundedReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+func (b *boundedReader) limit(n int) { b.limited, b.left = true, n }
+
+func (b *boundedReader) unlimit() { b.limited = false }
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if !b.limited {
+		return b.r.Read(p)
+	}
+	if b.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
 }
 
 func (c *conn) close() {
@@ -161,7 +198,9 @@
 // readResponse reads responses until one belongs to the request.
 func readResponse(c *conn, r Request) (*http.Response, error) {
 	for range maxResponsesPerRequest {
+		c.input.limit(maxHeadBytes)
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		c.input.unlimit()
 		if err != nil {
 			return nil, eris.Wrap(err, "read response")
 		}
@@ -174,8 +213,12 @@
 		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			return nil, eris.New("response to another request has no length")
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes+1))
+		switch {
+		case err != nil:
 			return nil, eris.Wrap(err, "skip response to another request")
+		case n > maxSkippedBytes:
+			return nil, eris.Errorf("response to another request is longer than %d bytes", maxSkippedBytes)
 		}
 	}
 	return nil, eris.New("too many informational responses or responses to other requests")
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -86,6 +86,40 @@
 	}
 }
 
+// endlessUpstream answers a request with bytes that do not end until the connection
+// closes.
+type endlessUpstream struct {
+	*fakeUpstream
+	written atomic.Int64
+	ended   chan struct{}
+}
+
+func newEndlessUpstream(begin, repeated string) *endlessUpstream {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = l.Close() })
+	p := &endlessUpstream{fakeUpstream: &fakeUpstream{Listener: l}, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, err = io.WriteString(c, begin)
+		block := strings.Repeat(repeated, 1+4096/len(repeated))
+		for err == nil {
+			var n int
+			n, err = io.WriteString(c, block)
+			p.written.Add(int64(n))
+		}
+	}()
+	return p
+}
+
 func (p *fakeUpstream) request() upstream.Request {
 	return upstream.Request{
 		Address: p.Addr().String(), Method: "POST", Target: "/x?y=%2F", Host: "h.example", Header: http.Header{"Id": {"1"}},
@@ -149,6 +183,35 @@
 		Entry("no HTTP", "220 smtp ready\r\n\r\n"),
 	)
 
+	// Guards against an upstream in trouble that sends bytes without end: they would
+	// fill the daemon's memory and hold the request until its deadline.
+	DescribeTable("gives up a response head that does not end",
+		func(begin, repeated string) {
+			p := newEndlessUpstream(begin, repeated)
+			began := time.Now()
+			_, err := do(p.fakeUpstream)
+			Expect(err).To(HaveOccurred())
+			Expect(errors.Is(err, upstream.ErrNotSent)).To(BeFalse())
+			Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+			Eventually(p.ended, "2s").Should(BeClosed())
+			Expect(p.written.Load()).To(BeNumerically("<", 16<<20), "what the upstream could send before the connection closed")
+		},
+		Entry("status line", "", "x"),
+		Entry("one header line", "HTTP/1.1 200 OK\r\nLong: ", "x"),
+		Entry("header lines", "HTTP/1.1 200 OK\r\n", "Some: thing\r\n"),
+		Entry("informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+		Entry("body of a response to another request", "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"),
+	)
+
+	// Guards against a long head of a sound upstream that is given up.
+	It("accepts a head of ordinary size before a body of any size", func() {
+		head := strings.Replace(completeResponse, "Content-Length: 2\r\n\r\nok", "Extra: "+strings.Repeat("x", 16<<10)+"\r\nContent-Length: 1000000\r\n\r\n", 1)
+		body := strings.Repeat("b", 1000000)
+		p := newFakeUpstream(true, head+body, completeResponse)
+		Expect(do(p)).To(Equal(body))
+		Expect(do(p)).To(Equal("ok"))
+	})
+
 	It("treats the end of the connection as the end of a response without a length", func() {
 		Expect(do(newFakeUpstream(true, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nto the end"))).To(Equal("to the end"))
 	})
