cutover: rehearse an examined target under load, on some of its upstreams

Cause: before completion the target never had the load that it gets after it. All requests for less than a second, spread over its upstreams, is all that the exposure allows.

Change: the rehearsal uses as many of the target's upstreams as the exposure can load, at twice their mean load after completion. A request that gets no answer at a target on trial goes to the other versions at once, not to another upstream of the target. An excess of failures needs a probability below 1e-3 beside the margin: a good version went back for three failures on a rare route with a fault of its own. Four clean answers, in place of five, are enough for a rare route.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -70,10 +71,11 @@
 	examinationFraction = 0.35
 	// trickleShare is the target's share on an examined route until the rehearsal.
 	trickleShare = 0.03
-	// rehearsalFraction is the fraction of the time limit after which all requests go
-	// to an examined target, as far as its exposure allows: a version may be bad under
-	// load only.
+	// rehearsalFraction is the fraction of the time limit after which an examined target
+	// is rehearsed under load (see rehearsalUpstreams). rehearsalLoad is the load of its
+	// upstreams then, as a multiple of their mean load after completion: load varies.
 	rehearsalFraction = 0.5
+	rehearsalLoad     = 2
 	// The exposure of a target before it is completed is bounded by a fixed number of
 	// requests and shares of the service's requests: of those that can be expected
 	// within the time limit, which leaves enough for the rehearsal, and of those so
@@ -216,17 +218,21 @@
 	c.judge(now)
 }
 
+// Fleet holds the numbers of daemons that take requests and of upstreams that run the
+// target.
+type Fleet struct{ Daemons, Targets int }
+
 // Choose decides whether a new request of a route goes to the target. draw is
-// uniform in [0, 1), and daemons is the number of daemons that take requests. Until
+// uniform in [0, 1). Until
 // the target is completed, each daemon limits it to a share of its own requests plus
 // its part of a fixed number, so that no count of all daemons' requests is needed.
-func (c *Cutover) Choose(route string, draw float64, now time.Time, daemons int) bool {
+func (c *Cutover) Choose(route string, draw float64, now time.Time, f Fleet) bool {
 	c.requests[route]++
 	e := c.sum(now).examine()
-	if draw >= c.share(route, e, now) {
+	if draw >= c.share(route, e, now, f.Targets) {
 		return false
 	}
-	if c.status.State != Completed && c.targetRequests[route] >= c.exposureLimit(route, e, now, daemons) {
+	if c.status.State != Completed && c.targetRequests[route] >= c.exposureLimit(route, e, now, f.Daemons) {
 		return false
 	}
 	c.targetRequests[route]++
@@ -386,9 +392,10 @@
 	return float64(now.Sub(c.startedAt)) / float64(c.order.TimeLimit)
 }
 
-// Share returns the target's share of the new requests of a route. The target gets less than that when its exposure is used up (see Choose).
-func (c *Cutover) Share(route string, now time.Time) float64 {
-	return c.share(route, c.sum(now).examine(), now)
+// Share returns the target's share of the new requests of a route. targets is the
+// number of upstreams that run the target. The target gets less than that when its exposure is used up (see Choose).
+func (c *Cutover) Share(route string, now time.Time, targets int) float64 {
+	return c.share(route, c.sum(now).examine(), now, targets)
 }
 
 // Stopped reports whether the target gets no new requests.
@@ -396,7 +403,7 @@
 	return c.status.State == Reverted || c.status.State != Completed && c.badRoute != ""
 }
 
-func (c *Cutover) share(route string, e examination, now time.Time) float64 {
+func (c *Cutover) share(route string, e examination, now time.Time, targets int) float64 {
 	switch {
 	case c.Stopped():
 		return 0
@@ -405,13 +412,38 @@
 	case e.unexamined[route]:
 		expected := e.rates[route] * examinationFraction * c.order.TimeLimit.Seconds()
 		return min(max(minExaminedOutcomes/max(expected, 1), trickleShare), 1)
-	case e.done() && c.elapsedFraction(now) >= rehearsalFraction:
-		return 1
+	case c.rehearsing(e, now):
+		return min(rehearsalLoad*float64(c.rehearsalUpstreams(e, targets))/float64(max(targets, 1)), 1)
 	default:
 		return trickleShare
 	}
 }
 
+func (c *Cutover) rehearsing(e examination, now time.Time) bool {
+	return c.status.State != Completed && e.done() && c.elapsedFraction(now) >= rehearsalFraction
+}
+
+// UsableTargets returns how many of the upstreams that run the target may get requests
+// now. All daemons have to choose the same ones.
+func (c *Cutover) UsableTargets(targets int, now time.Time) int {
+	e := c.sum(now).examine()
+	if !c.rehearsing(e, now) {
+		return targets
+	}
+	return c.rehearsalUpstreams(e, targets)
+}
+
+// rehearsalUpstreams returns the number of upstreams that are rehearsed: a version may
+// be bad under load only, and the exposure of a busy service does not suffice to load
+// all of them.
+func (c *Cutover) rehearsalUpstreams(e examination, targets int) int {
+	limit := c.order.TimeLimit.Seconds()
+	planned := exposureRequests/2 + expectedExposureShare*e.rate*limit
+	expected := e.rate * (completeFraction - rehearsalFraction) * limit
+	share := min(planned/max(expected, 1), 1)
+	return min(targets, int(math.Ceil(share*float64(targets)/rehearsalLoad)))
+}
+
 // Write is what a daemon has to write to the store now.
 type Write struct {
 	// State is empty when there is no status to write.
--- a/cutover/evidence.go
+++ b/cutover/evidence.go
@@ -17,9 +17,10 @@
 	// that of the other versions, which are hit by the same faults of machines and
 	// networks.
 	rateMargin = 0.2
-	// A smaller excess, of at least smallRateMargin, also counts if it has a
-	// probability of less than maxChance to come about with the rate of the other
-	// versions.
+	// maxMarginChance is the largest probability with which such an excess may come
+	// about at the rate of the other versions. A smaller excess, of at least
+	// smallRateMargin, counts up to maxChance.
+	maxMarginChance = 1e-3
 	smallRateMargin = 0.05
 	maxChance       = 1e-4
 	// A target with an excess that is less certain is not found bad, but not completed
@@ -34,8 +35,8 @@
 	// fewer than minBadOutcomes bad ones among them is about one in fifty.
 	minExaminedOutcomes = 12
 	// minCleanOutcomes is the same if none of them is bad. When half of the answers
-	// are bad, the probability of this is one in thirty.
-	minCleanOutcomes = 5
+	// are bad, the probability of this is one in sixteen.
+	minCleanOutcomes = 4
 	// rareRouteShare is the share of requests below which a route need not be
 	// examined.
 	rareRouteShare = 0.02
@@ -120,7 +121,8 @@
 	if c.Bad < minBadOutcomes || c.rate() < expected+smallRateMargin {
 		return false
 	}
-	return !part && c.rate() >= expected+rateMargin || chance(c.total(), c.Bad, expected) < maxChance
+	p := chance(c.total(), c.Bad, expected)
+	return p < maxChance || !part && c.rate() >= expected+rateMargin && p < maxMarginChance
 }
 
 // chance returns the probability of at least bad outcomes among n if each is bad
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -277,6 +277,7 @@
 	countStreamMove(step.String())
 	s.attemptTracker.Attempted(true)
 	s.excluded[p.upstream.ID] = true
+	s.g.leaveTrial(s.r, p.upstream)
 	s.g.recordOutcome(s.r, p.upstream, true, began)
 	s.g.withTracker(func(b *placement.Tracker) { b.Failed(p.upstream, now) })
 	s.g.o.Logger.Info("upstream lost", "id", s.r.ID, "upstream", p.upstream.ID, "data_centre", p.upstream.DataCentre,
@@ -300,6 +301,7 @@
 		s.state.NotRun()
 		s.attemptTracker.Attempted(m.verdict.maybeReceived())
 		s.excluded[p.upstream.ID] = true
+		s.g.leaveTrial(s.r, p.upstream)
 		s.g.withTracker(func(b *placement.Tracker) {
 			switch m.verdict {
 			case verdictNotRun:
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
+	"github.com/gooseberryroad/gooseberryroad/membership"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
 
@@ -106,14 +109,22 @@
 // chooseVersion decides whether a request goes to the version to which its
 // service is being moved.
 func (g *Gateway) chooseVersion(r *request) {
-	daemons := g.o.Directory.View().Daemons
+	view := g.o.Directory.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.meter(r.service).Request(r.route.Name, now)
-	if c := g.cutovers[r.service]; c != nil {
-		r.useTargetVersion = c.Choose(r.route.Name, g.rnd.Float64(), now, daemons)
+	c := g.cutovers[r.service]
+	if c == nil {
+		return
 	}
+	f := cutover.Fleet{Daemons: view.Daemons}
+	for _, in := range view.Upstreams[r.service] {
+		if in.Version == c.Order().Target {
+			f.Targets++
+		}
+	}
+	r.useTargetVersion = c.Choose(r.route.Name, g.rnd.Float64(), now, f)
 }
 
 // ofVersion returns the upstreams that run the version chosen for the request.
@@ -137,12 +148,23 @@
 	case c.State() == cutover.Completed:
 		return others
 	case r.useTargetVersion && !c.Stopped() && len(target) > 0:
-		return target
+		return firstByRendezvous(r.service, target, c.UsableTargets(len(target), time.Now()))
 	default:
 		return others
 	}
 }
 
+// firstByRendezvous returns n of a service's upstreams, the same ones at all daemons.
+func firstByRendezvous(service string, upstreams []registry.Instance, n int) []registry.Instance {
+	if n >= len(upstreams) {
+		return upstreams
+	}
+	slices.SortFunc(upstreams, func(a, b registry.Instance) int {
+		return cmp.Compare(membership.RendezvousWeight(service, b.ID), membership.RendezvousWeight(service, a.ID))
+	})
+	return upstreams[:n]
+}
+
 // usualLatencyWeight is the weight of the newest response in the moving average
 // of a route's latency.
 const usualLatencyWeight = 0.1
@@ -170,8 +192,7 @@
 // recordOutcome tells the service's cutover how an attempt went: whether it
 // failed, and how long it took to the complete response or the first event.
 // Successful attempts at other versions than the target also update the usual
-// latency of the route. A request that failed at a target on trial is repeated at
-// the other versions.
+// latency of the route.
 func (g *Gateway) recordOutcome(r *request, in registry.Instance, failed bool, began time.Time) {
 	now := time.Now()
 	took := now.Sub(began)
@@ -182,10 +203,8 @@
 	if c == nil {
 		g.meter(r.service).Outcome(r.route.Name, bad, now)
 	} else {
-		onTarget := in.Version == c.Order().Target
-		countCutoverOutcome(onTarget, bad)
+		countCutoverOutcome(in.Version == c.Order().Target, bad)
 		g.withVerdictLogged(c, func() { c.RecordOutcome(r.route.Name, in.Version, bad, began, now) })
-		r.useTargetVersion = r.useTargetVersion && !(onTarget && failed)
 	}
 	if failed || c != nil && in.Version == c.Order().Target {
 		return
@@ -197,6 +216,16 @@
 	g.usualLatency[r.route.Name] = usual + time.Duration(usualLatencyWeight*float64(took-usual))
 }
 
+// leaveTrial makes a request that got no answer from an upstream of a target on trial
+// use the other versions from then on.
+func (g *Gateway) leaveTrial(r *request, in registry.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.cutovers[r.service]; c != nil && in.Version == c.Order().Target {
+		r.useTargetVersion = false
+	}
+}
+
 // isSlow reports whether a response that took this long, or is awaited for this
 // long, is slow for the request's route. While the usual latency is not known, it is
 // slow beyond the route's objective. The caller holds g.mu.
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -184,6 +184,9 @@
 		t.g.recordOutcome(t.r, in, v != verdictAnswered, began)
 	}
 	t.g.recordSettled(t.r, in, began)
+	if v != verdictAnswered {
+		t.g.leaveTrial(t.r, in)
+	}
 	t.excluded[in.ID] = true
 	t.g.withTracker(func(b *placement.Tracker) {
 		switch v {
