quarantine: count an upstream again that crashes again; soak: requests with a common part

A part of a prompt was found only after crashes of three different upstreams. An upstream may start again under the ID that it had, so a service with few of them would never reach three: the soak's stand-ins keep their IDs, and there are as few as two. Crashes of one upstream at moments apart now count each; several daemons that saw the same one still count it once. The new test failed before.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -223,9 +223,9 @@
 type Fleet struct{ Daemons, Targets int }
 
 // Choose decides whether a new request of a route goes to the target. draw is
-// uniform in [0, 1). Until
-// the target is completed, each daemon limits it to a share of its own requests plus
-// its part of a fixed number, so that no count of all daemons' requests is needed.
+// uniform in [0, 1). Until the target is completed, each daemon limits it to a share
+// of its own requests plus its part of a fixed number, so that no count of all
+// daemons' requests is needed.
 func (c *Cutover) Choose(route string, draw float64, now time.Time, f Fleet) bool {
 	c.requests[route]++
 	e := c.sum(now).examine()
@@ -393,7 +393,8 @@
 }
 
 // Share returns the target's share of the new requests of a route. targets is the
-// number of upstreams that run the target. The target gets less than that when its exposure is used up (see Choose).
+// number of upstreams that run the target. The target gets less than that when its
+// exposure is used up (see Choose).
 func (c *Cutover) Share(route string, now time.Time, targets int) float64 {
 	return c.share(route, c.sum(now).examine(), now, targets)
 }
@@ -419,6 +420,7 @@
 	}
 }
 
+// rehearsing reports whether an examined target is rehearsed under load.
 func (c *Cutover) rehearsing(e examination, now time.Time) bool {
 	return c.status.State != Completed && e.done() && c.elapsedFraction(now) >= rehearsalFraction
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,9 @@
 	// holds the revisions of the reports of other daemons that it has.
 	partCrashes         *quarantine.PartLog
 	partReportRevisions map[string]uint64
-	partCrashesResumed  bool
+	// partCrashesResumed is set once the crashes that an earlier process of this daemon
+	// published are taken over.
+	partCrashesResumed bool
 	// adopted holds the engines that are used in place of registered ones at the
 	// same address. adoptionsRunning holds the IDs of registered engines for which
 	// adopt is running.
--- a/quarantine/partlog.go
+++ b/quarantine/partlog.go
@@ -11,7 +11,8 @@
 // PartLogOptions are the bounds of a PartLog. Zero values select the defaults, which
 // each field's comment gives.
 type PartLogOptions struct {
-	// MinCrashes is the number of upstreams that must have crashed under a part; 3.
+	// MinCrashes is the number of crashes of upstreams under a part that it takes to
+	// find it; 3.
 	MinCrashes int
 	// MinEpisodes is the number of moments, EpisodeGap apart, at which they crashed;
 	// 2. A fault that takes several upstreams down at once is one episode.
@@ -57,7 +58,7 @@
 
 // PartCrash is the crash of an upstream as it began to answer a request.
 type PartCrash struct {
-	// Upstream is the ID of the upstream's incarnation.
+	// Upstream is the ID of the upstream.
 	Upstream string `json:"upstream"`
 	// Parts are the parts of the request's prompt that other requests may share.
 	Parts []Hash `json:"parts"`
@@ -287,17 +288,21 @@
 // enough reports whether the crashes, oldest first, show that their common part
 // causes them.
 func (l *PartLog) enough(crashes []partCrash) bool {
-	upstreams := map[string]bool{}
-	episodes := 0
+	// Several daemons may have seen the same crash of an upstream.
+	counted := map[string]time.Time{}
+	count, episodes := 0, 0
 	var last time.Time
 	for _, c := range crashes {
-		upstreams[c.upstream] = true
+		if at, seen := counted[c.upstream]; !seen || c.at.Sub(at) >= l.o.EpisodeGap {
+			counted[c.upstream] = c.at
+			count++
+		}
 		if episodes == 0 || c.at.Sub(last) >= l.o.EpisodeGap {
 			episodes++
 			last = c.at
 		}
 	}
-	return len(upstreams) >= l.o.MinCrashes && episodes >= l.o.MinEpisodes
+	return count >= l.o.MinCrashes && episodes >= l.o.MinEpisodes
 }
 
 // Due returns the report that this daemon should publish now, or false when nothing
--- a/quarantine/partlog_test.go
+++ b/quarantine/partlog_test.go
@@ -240,6 +240,15 @@
 		Expect(r.Crashes).To(HaveLen(4))
 	})
 
+	// Guards against a part that is never found because upstreams start again under the
+	// IDs that they had, in a service with few of them.
+	It("counts an upstream again that crashes again", func() {
+		for i := range 3 {
+			l.Crashed(fmt.Sprint("u", i%2), partsOf("a"), now.Add(time.Duration(i)*time.Second))
+		}
+		Expect(held(now.Add(3*time.Second), "a")).To(BeTrue())
+	})
+
 	// Guards against memory and store entries that grow with each crash, and against
 	// a part that is refused for ever.
 	It("stays within its bounds and forgets a part after a time", func() {
--- a/soak/crasheach.go
+++ b/soak/crasheach.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
@@ -24,15 +25,21 @@
 	// runs again.
 	restartDelay = 300 * time.Millisecond
 	// maxCrashes is the number of crashes after which a request counts as a poison
-	// request. Runs later than settleTime after the last of these crashes are late; the
-	// users' rule allows at most maxLateRuns of them.
-	maxCrashes  = 3
-	maxLateRuns = 3
+	// request, maxPartCrashes the same for a part of a prompt that different requests
+	// share. Runs later than settleTime after the last of these crashes are late; the
+	// users' rules allow at most maxLateRuns of them.
+	maxCrashes     = 3
+	maxPartCrashes = 5
+	maxLateRuns    = 3
 )
 
 // poisonRequest is a request that crashes each upstream that runs it.
 type poisonRequest struct {
-	body     string
+	// body is the body of each send, or what it begins with if part is set.
+	body string
+	// part is a part of the prompts that crashes upstreams; the sends differ in
+	// everything else. It is empty if all sends are the same.
+	part     string
 	from, to time.Time
 	// runs are the attempts that reached upstreams, in the order of time.
 	runs []poisonRun
@@ -45,8 +52,18 @@
 	daemon int
 }
 
-// sendPoisonRequest sends the same poison request poisonSends times, each time to a
-// random daemon. It does nothing while another poison request is sent.
+// maxCrashes returns the number of crashes after which the runs of a poison request
+// can be late.
+func (p poisonRequest) maxCrashes() int {
+	if p.part != "" {
+		return maxPartCrashes
+	}
+	return maxCrashes
+}
+
+// sendPoisonRequest sends a poison request poisonSends times, each time to a random
+// daemon: by turns the same request, and requests that share a part of their prompts
+// only. It does nothing while another poison request is sent.
 func (s *Soak) sendPoisonRequest(ctx context.Context) {
 	if !s.poisonMu.TryLock() {
 		return
@@ -54,8 +71,18 @@
 	defer s.poisonMu.Unlock()
 	s.poisonRequests++
 	p := poisonRequest{body: fmt.Sprintf("crash %d of seed %d", s.poisonRequests, s.seed), from: time.Now()}
+	if s.poisonRequests%2 == 0 {
+		p.part = fmt.Sprintf("bad%d", s.poisonRequests)
+	}
 	for _, u := range s.upstreams {
-		u.Set(func(b *platformtest.Behaviour) { b.CrashOn, b.RestartDelay = p.body, restartDelay })
+		u.Set(func(b *platformtest.Behaviour) {
+			b.RestartDelay = restartDelay
+			if p.part == "" {
+				b.CrashOn = p.body
+			} else {
+				b.CrashOnPart = p.part
+			}
+		})
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	random := rand.New(rand.NewPCG(s.seed, uint64(s.poisonRequests)))
@@ -64,6 +91,10 @@
 		call := platformtest.Call{
 			ID: fmt.Sprintf("p%d-%d", s.poisonRequests, i), Kind: platformtest.Stream, Key: permanentKey, Body: p.body, Timeout: poisonTimeout,
 		}
+		if p.part != "" {
+			call.Body = fmt.Sprint(p.body, ", send ", i)
+			call.Prompt = fmt.Sprintf("first:200,%s:60,own%d:800", p.part, i)
+		}
 		within, cancel := context.WithTimeout(ctx, call.Timeout)
 		daemons[call.ID] = random.IntN(len(s.daemons))
 		s.sendIgnoringAnswer(within, client, call, daemons[call.ID])
@@ -74,9 +105,9 @@
 	}
 	p.to = time.Now()
 	for _, u := range s.upstreams {
-		u.Set(func(b *platformtest.Behaviour) { b.CrashOn = "" })
+		u.Set(func(b *platformtest.Behaviour) { b.CrashOn, b.CrashOnPart = "", "" })
 		for _, received := range u.ReceivedRequests() {
-			if received.Body == p.body {
+			if received.Body == p.body || p.part != "" && strings.HasPrefix(received.Body, p.body+", ") {
 				p.runs = append(p.runs, poisonRun{received.At, daemons[received.ID()]})
 			}
 		}
@@ -115,10 +146,10 @@
 // that sent one of the runs or its link to the store, or on any link between daemons,
 // because that daemon may not have learnt of the crashes.
 func (obs *observations) checkPoisonRequest(p poisonRequest) string {
-	if !obs.faults.unaffected(StoreServer, 0, p.from, p.to) || len(p.runs) <= maxCrashes {
+	if !obs.faults.unaffected(StoreServer, 0, p.from, p.to) || len(p.runs) <= p.maxCrashes() {
 		return ""
 	}
-	knownAt := p.runs[maxCrashes-1].at.Add(settleTime)
+	knownAt := p.runs[p.maxCrashes()-1].at.Add(settleTime)
 	late := 0
 	for _, r := range p.runs {
 		if !obs.daemonConnected(r.daemon, p) {
@@ -129,7 +160,7 @@
 		}
 	}
 	if late > maxLateRuns {
-		return fmt.Sprintf("it ran %d times, %d of them long after it had crashed %d upstreams", len(p.runs), late, maxCrashes)
+		return fmt.Sprintf("it ran %d times, %d of them long after it had crashed %d upstreams", len(p.runs), late, p.maxCrashes())
 	}
 	return ""
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,6 +119,16 @@
 		Expect(obs.checkPoisonRequest(p)).To(BeEmpty(), "a daemon was not connected to the store")
 	})
 
+	It("reports requests with a common prompt part that run again long after it crashed five upstreams", func() {
+		p := poisonRequest{body: "b", part: "bad", from: at(10), to: at(20)}
+		for _, t := range []float64{10, 10.5, 11, 11.5, 12, 14.5, 15, 16} {
+			p.runs = append(p.runs, poisonRun{at(t), 1})
+		}
+		Expect(obs.checkPoisonRequest(p)).To(BeEmpty())
+		p.runs = append(p.runs, poisonRun{at(17), 1})
+		Expect(obs.checkPoisonRequest(p)).NotTo(BeEmpty())
+	})
+
 	It("reports orders that ran although they were refused", func() {
 		a := request(platformtest.Order)
 		a.status = http.StatusServiceUnavailable
