--- a/quarantine/partlog.go
+++ b/quarantine/partlog.go
@@ -99,10 +99,10 @@
 	peers map[string]peerParts
 	// sound holds when an upstream last answered under a part at this daemon.
 	sound map[Hash]time.Time
-	// guilty holds, for each part that is found to crash upstreams, the parts that a
+	// crashing holds, for each part that is found to crash upstreams, the parts that a
 	// request must have to be held back. It is computed again when stale is set.
-	guilty map[Hash]guiltyPart
-	stale  bool
+	crashing map[Hash]crashingPart
+	stale    bool
 	// suspects holds the parts of known crashes that are not cleared.
 	suspects map[Hash]bool
 	// dirty is set when there are crashes to publish, soundDirty when there may be
@@ -119,8 +119,8 @@
 	sound   map[Hash]bool
 }
 
-// guiltyPart says which parts a request must have to be held back, and until when.
-type guiltyPart struct {
+// crashingPart says which parts a request must have to be held back, and until when.
+type crashingPart struct {
 	with  []Hash
 	until time.Time
 }
@@ -129,7 +129,7 @@
 func NewPartLog(o PartLogOptions) *PartLog {
 	o = o.withDefaults()
 	return &PartLog{
-		o: o, peers: map[string]peerParts{}, sound: map[Hash]time.Time{}, guilty: map[Hash]guiltyPart{}, suspects: map[Hash]bool{},
+		o: o, peers: map[string]peerParts{}, sound: map[Hash]time.Time{}, crashing: map[Hash]crashingPart{}, suspects: map[Hash]bool{},
 		retry: backoff.Backoff{Initial: o.PublishEvery, Max: maxPublishPause},
 	}
 }
@@ -213,7 +213,7 @@
 func (l *PartLog) Quarantined(parts []Hash, now time.Time) (time.Duration, Hash) {
 	l.judge(now)
 	for _, p := range parts {
-		g, ok := l.guilty[p]
+		g, ok := l.crashing[p]
 		if !ok || !now.Before(g.until) {
 			continue
 		}
@@ -224,7 +224,7 @@
 	return 0, Hash{}
 }
 
-// judge computes the guilty parts from all crashes.
+// judge finds the parts that crash upstreams from all crashes.
 func (l *PartLog) judge(now time.Time) {
 	if !l.stale {
 		return
@@ -238,7 +238,7 @@
 			l.suspects[p] = true
 		}
 	}
-	clear(l.guilty)
+	clear(l.crashing)
 	for p, crashes := range byPart {
 		if !l.suspects[p] || !l.enough(crashes) {
 			continue
@@ -247,7 +247,7 @@
 		for _, c := range crashes {
 			with = slices.DeleteFunc(with, func(h Hash) bool { return !l.suspects[h] || !slices.Contains(c.parts, h) })
 		}
-		l.guilty[p] = guiltyPart{with: with, until: crashes[len(crashes)-1].at.Add(l.o.Memory)}
+		l.crashing[p] = crashingPart{with: with, until: crashes[len(crashes)-1].at.Add(l.o.Memory)}
 	}
 }
 
