--- a/quarantine/partlog_test.go
+++ b/quarantine/partlog_test.go
@@ -22,19 +22,19 @@
 }
 
 // partFleet simulates daemons that share their reports through the store, and
-// upstreams that crash when they begin to answer a request with the deadly part.
+// upstreams that crash when they begin to answer a request with the crashing part.
 type partFleet struct {
 	logs []*quarantine.PartLog
 	now  time.Time
 	rnd  *rand.Rand
 	// due holds what happens at later times.
 	due []partEvent
-	// crashes holds when upstreams crashed under the deadly part, sentLate counts the
+	// crashes holds when upstreams crashed under the crashing part, sentLate counts the
 	// requests with it that were sent later than sentLateAfter after the fifth crash.
 	crashes  []time.Time
 	sentLate int
 	// soundSent and soundRefused count the sound requests that share their first part
-	// with the deadly ones, and those of them that were refused.
+	// with the crashing ones, and those of them that were refused.
 	soundSent, soundRefused int
 	upstreams               int
 }
@@ -47,7 +47,7 @@
 const (
 	reportDelay   = 500 * time.Millisecond
 	sentLateAfter = 3 * time.Second
-	deadlyPart    = "deadly"
+	crashingPart    = "crashing"
 	sharedPart    = "shared"
 )
 
@@ -105,27 +105,27 @@
 // the given number of attempts.
 func (f *partFleet) send(daemon int, attempts int, names ...string) {
 	l, parts := f.logs[daemon], partsOf(names...)
-	deadly, sharesFirst := false, false
+	crashing, sharesFirst := false, false
 	for _, n := range names {
-		deadly = deadly || n == deadlyPart
+		crashing = crashing || n == crashingPart
 		sharesFirst = sharesFirst || n == sharedPart
 	}
-	if !deadly && sharesFirst {
+	if !crashing && sharesFirst {
 		f.soundSent++
 	}
 	if left, _ := l.Quarantined(parts, f.now); left > 0 {
-		if !deadly && sharesFirst {
+		if !crashing && sharesFirst {
 			f.soundRefused++
 		}
 		return
 	}
-	if deadly && len(f.crashes) >= 5 && f.now.Sub(f.crashes[4]) > sentLateAfter {
+	if crashing && len(f.crashes) >= 5 && f.now.Sub(f.crashes[4]) > sentLateAfter {
 		f.sentLate++
 	}
 	f.upstreams++
 	id := fmt.Sprint("u", f.upstreams)
 	f.after(time.Duration(800+f.rnd.IntN(1000))*time.Millisecond, func() {
-		if !deadly {
+		if !crashing {
 			l.Answered(parts, f.now)
 			return
 		}
@@ -155,12 +155,12 @@
 	// and crash one upstream after the other, and against callers that are refused
 	// because they share an account or another part with them.
 	DescribeTable("stops requests with a part that crashes upstreams, and no others",
-		func(daemons int, deadlyPerSecond, soundPerSecond float64) {
+		func(daemons int, crashingPerSecond, soundPerSecond float64) {
 			for seed := range uint64(30) {
 				f := newPartFleet(daemons, seed)
 				f.run(30*time.Second, func() {
-					if f.rnd.Float64() < deadlyPerSecond/100 {
-						f.send(f.rnd.IntN(daemons), 3, sharedPart, deadlyPart)
+					if f.rnd.Float64() < crashingPerSecond/100 {
+						f.send(f.rnd.IntN(daemons), 3, sharedPart, crashingPart)
 					}
 					if f.rnd.Float64() < soundPerSecond/100 {
 						f.send(f.rnd.IntN(daemons), 3, sharedPart, fmt.Sprint("other", f.rnd.IntN(20)))
