--- a/quarantine/partlog_test.go
+++ b/quarantine/partlog_test.go
@@ -47,7 +47,7 @@
 const (
 	reportDelay   = 500 * time.Millisecond
 	sentLateAfter = 3 * time.Second
-	crashingPart    = "crashing"
+	crashingPart  = "crashing"
 	sharedPart    = "shared"
 )
 
