cutover: rehearse a target with more requests at once and judge all routes together

The rehearsal put twice the mean load on one upstream, 0.35 requests at once in a service with short requests, half of them of a route of which a quarter fails at all versions, and asked each route alone for a certain excess.

Change: the rehearsal loads its upstreams up to three quarters of their slots, by the usual latency and the rates; routes that fail often by themselves take no part in it and count as examined after twelve outcomes only; a quarter of the exposure is kept for the last phase; the outcomes of all routes together must be likelier of a good version than of one that fails 15% more. The order ends with one decision at one moment.

Ruled out: batches of held requests (they would delay callers); a stricter threshold alone (minGoodLikelihood 2 sent back the good version of the test "completes a good version in time"); the same check of the rehearsal alone (it did too).

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -72,10 +72,16 @@
 	// trickleShare is the target's share on an examined route until the rehearsal.
 	trickleShare = 0.03
 	// rehearsalFraction is the fraction of the time limit after which an examined target
-	// is rehearsed under load (see rehearsalUpstreams). rehearsalLoad is the load of its
-	// upstreams then, as a multiple of their mean load after completion: load varies.
-	rehearsalFraction = 0.5
-	rehearsalLoad     = 2
+	// is rehearsed under load (see rehearsalUpstreams). minRehearsalLoad is the least load
+	// of its upstreams then, as a multiple of their mean load after completion: load varies.
+	// Where more is known, they are loaded until maxRehearsalOccupancy of their slots are
+	// taken: a fault of concurrent requests shows there within fewer requests.
+	rehearsalFraction     = 0.5
+	minRehearsalLoad      = 2
+	maxRehearsalOccupancy = 0.75
+	// lateExposureShare is the share of the exposure that is kept for the last phase,
+	// because a version may turn bad late.
+	lateExposureShare = 0.25
 	// The exposure of a target before it is completed is bounded by a fixed number of
 	// requests and shares of the service's requests: of those that can be expected
 	// within the time limit, which leaves enough for the rehearsal, and of those so
@@ -83,18 +89,16 @@
 	// requests plus fifty; the difference is left for requests that daemons send before
 	// they know that it is bad.
 	exposureRequests      = 42
-	expectedExposureShare = 0.04
+	expectedExposureShare = 0.045
 	exposureShare         = 0.03
 	// The examination may use less, of the requests so far.
 	examinationRequests = 30
 	examinationShare    = 0.08
-	// completeLead is the time before the end of the time limit at which the move is
-	// reported as completed if the target was examined. All requests go to the target from
-	// then on, and until the end they count towards its exposure. revertLead is the time at
-	// which the move is reported as reverted if the target was not examined. Both leave
-	// time for the write and for an order that was read late.
-	completeLead = 450 * time.Millisecond
-	revertLead   = 250 * time.Millisecond
+	// finalLead is the time before the end of the time limit at which the move is reported
+	// as completed, or as reverted if too little is known of the target. It leaves time for
+	// the write and for an order that was read late. All requests go to a completed target,
+	// and until the end they count towards its exposure.
+	finalLead = 450 * time.Millisecond
 	// rankDelay is how long each daemon waits for the one ranked before it to write
 	// a status, before it writes the status itself; finalRankDelay is the same for the
 	// status at the end of the time limit.
@@ -227,6 +231,32 @@
 	// Daemons is the number of daemons that take requests, Targets the number of
 	// upstreams that run the target.
 	Daemons, Targets int
+	// Slots is the number of requests that all upstreams of the target run at once; 0 is
+	// unknown.
+	Slots int
+	// Latency is the usual time to the complete answer on each route. Routes on which it
+	// is not known are missing.
+	Latency map[string]time.Duration
+}
+
+// rehearsalLoad returns the load of the upstreams in the rehearsal, as a multiple of
+// their mean load after completion.
+func (f Fleet) rehearsalLoad(e examination) float64 {
+	running := 0.0
+	for route, rate := range e.rates {
+		latency, known := f.Latency[route]
+		switch {
+		case e.noisy[route]:
+		case known:
+			running += rate * latency.Seconds()
+		case rate >= rareRouteShare*e.rate:
+			return minRehearsalLoad
+		}
+	}
+	if running == 0 {
+		return minRehearsalLoad
+	}
+	return max(min(maxRehearsalOccupancy*float64(f.Slots)/running, float64(f.Targets)), minRehearsalLoad)
 }
 
 // Choose decides whether a new request of a route goes to the target. draw is
@@ -259,6 +289,9 @@
 		}
 		limit = exposureRequests/float64(max(daemons, 1)) + expectedExposureShare*ownRate*c.order.TimeLimit.Seconds() +
 			exposureShare*float64(total(c.requests))
+		if c.phase(now) < len(phaseStarts)-1 {
+			limit *= 1 - lateExposureShare
+		}
 	} else {
 		limit = examinationRequests/float64(max(daemons, 1)) + examinationShare*float64(total(c.requests))
 	}
@@ -391,8 +424,8 @@
 // found bad.
 func (c *Cutover) BadRoute() string { return c.badRoute }
 
-// completionTime returns the age of the order at which an examined target is completed.
-func (c *Cutover) completionTime() time.Duration { return max(c.order.TimeLimit-completeLead, 0) }
+// decisionTime returns the age of the order at which it ends without a verdict.
+func (c *Cutover) decisionTime() time.Duration { return max(c.order.TimeLimit-finalLead, 0) }
 
 // elapsedFraction returns the fraction of the time limit that has passed.
 func (c *Cutover) elapsedFraction(now time.Time) float64 {
@@ -422,8 +455,8 @@
 	case e.unexamined[route]:
 		expected := e.rates[route] * examinationFraction * c.order.TimeLimit.Seconds()
 		return min(max(minExaminedOutcomes/max(expected, 1), trickleShare), 1)
-	case c.rehearsing(e, now):
-		return min(rehearsalLoad*float64(c.rehearsalUpstreams(e, f))/float64(max(f.Targets, 1)), 1)
+	case c.rehearsing(e, now) && !e.noisy[route]:
+		return min(f.rehearsalLoad(e)*float64(c.rehearsalUpstreams(e, f))/float64(max(f.Targets, 1)), 1)
 	default:
 		return trickleShare
 	}
@@ -450,9 +483,9 @@
 func (c *Cutover) rehearsalUpstreams(e examination, f Fleet) int {
 	limit := c.order.TimeLimit.Seconds()
 	planned := exposureRequests/2 + expectedExposureShare*e.rate*limit
-	expected := e.rate * (c.completionTime().Seconds() - rehearsalFraction*limit)
+	expected := e.rehearsedRate * (c.decisionTime().Seconds() - rehearsalFraction*limit)
 	share := min(planned/max(expected, 1), 1)
-	return min(f.Targets, int(math.Ceil(share*float64(f.Targets)/rehearsalLoad)))
+	return min(f.Targets, int(math.Ceil(share*float64(f.Targets)/f.rehearsalLoad(e))))
 }
 
 // Write is what a daemon has to write to the store now.
@@ -479,10 +512,11 @@
 		if now.Sub(c.judgedAt) >= delay {
 			w.State = Reverted
 		}
-	case elapsedAtEnd >= c.completionTime() && c.mayComplete(now):
-		w.State = Completed
-	case elapsedAtEnd >= c.order.TimeLimit-revertLead:
+	case elapsedAtEnd >= c.decisionTime():
 		w.State = Reverted
+		if c.mayComplete(now) {
+			w.State = Completed
+		}
 	case c.status.State == "" && elapsed >= delay:
 		w.State = Running
 	}
@@ -500,7 +534,7 @@
 // to it.
 func (c *Cutover) mayComplete(now time.Time) bool {
 	sum := c.sum(now)
-	return sum.examine().done() && sum.suspectRoute() == "" && !sum.answersOverdue() && sum.rehearsed(c.completionTime()-time.Duration(rehearsalFraction*float64(c.order.TimeLimit)))
+	return sum.examine().done() && sum.suspectRoute() == "" && !sum.seemsWorse() && !sum.answersOverdue() && sum.rehearsed(c.decisionTime()-time.Duration(rehearsalFraction*float64(c.order.TimeLimit)))
 }
 
 // WriteFailed notes that a write failed. evidence tells whether it held evidence,
--- a/cutover/cutover_test.go
+++ b/cutover/cutover_test.go
@@ -37,13 +37,29 @@
 	// three times as long.
 	latency time.Duration
 	due     []dueOutcome
+	// slots and usualLatency are what the daemons know of the target's upstreams and of
+	// the routes.
+	slots        int
+	usualLatency map[string]time.Duration
 	// onEvidence is called with what a daemon publishes; nil is ignored.
 	onEvidence func(daemon int, e cutover.Evidence)
+	// busyUntil holds, for each upstream that runs the target, when the requests that
+	// it runs end.
+	busyUntil [targets][]time.Time
+}
+
+// runOnTarget runs a request on one of the target's usable upstreams and returns how many
+// requests the upstream runs then.
+func (f *fleet) runOnTarget() int {
+	i := f.rnd.IntN(f.daemons[0].UsableTargets(f.size(), f.now))
+	f.busyUntil[i] = slices.DeleteFunc(f.busyUntil[i], func(end time.Time) bool { return !f.now.Before(end) })
+	f.busyUntil[i] = append(f.busyUntil[i], f.now.Add(f.latency))
+	return len(f.busyUntil[i])
 }
 
 // size returns the numbers of daemons and upstreams of the fleet.
 func (f *fleet) size() cutover.Fleet {
-	return cutover.Fleet{Daemons: len(f.daemons), Targets: targets}
+	return cutover.Fleet{Daemons: len(f.daemons), Targets: targets, Slots: f.slots, Latency: f.usualLatency}
 }
 
 // dueOutcome is recorded at a time.
@@ -82,6 +98,9 @@
 			if l.broken {
 				own[route] = cutover.Traffic{PerSecond: l.perSecond / float64(daemons), Outcomes: cutover.Counts{Bad: n}}
 			}
+			if bad := int(l.failing * float64(n)); bad > 0 {
+				own[route] = cutover.Traffic{PerSecond: l.perSecond / float64(daemons), Outcomes: cutover.Counts{Good: n - bad, Bad: bad}}
+			}
 		}
 		f.daemons = append(f.daemons, cutover.New(f.order, own, f.rnd.Float64(), f.now))
 	}
@@ -212,6 +231,8 @@
 	bad       func(f *fleet, at time.Duration, share float64) bool
 	slow      func(f *fleet, at time.Duration) bool
 	broken    bool
+	// failing is the share of requests that fail at all versions, beside the usual ones.
+	failing float64
 }
 
 // serve runs the loads until the time limit of the order.
@@ -233,11 +254,11 @@
 	c := f.daemons[f.rnd.IntN(len(f.daemons))]
 	f.all++
 	share := c.Share(route, f.now, f.size())
-	version, bad := "v1", l.broken || f.rnd.Float64() < 0.02
+	version, bad := "v1", l.broken || f.rnd.Float64() < 0.02 || f.rnd.Float64() < l.failing
 	if c.Choose(route, f.rnd.Float64(), f.now, f.size()) {
 		version = "v2"
 		f.target++
-		bad = l.broken || l.bad != nil && l.bad(f, at, share)
+		bad = l.broken || f.rnd.Float64() < l.failing || l.bad != nil && l.bad(f, at, share)
 		if l.slow != nil && l.slow(f, at) {
 			ordinary := f.latency
 			f.latency = 3 * ordinary
@@ -364,6 +385,37 @@
 		}),
 	)
 
+	// Guards against a version that fails the more of its requests the more its upstream
+	// runs at once, half of them when all slots are taken: at the usual load that is one in
+	// ten, and it was completed.
+	DescribeTable("reverts a version of a plain service that fails under load",
+		func(daemons int, limit, latency time.Duration, ordersPerSecond, stockPerSecond float64) {
+			const seeds, slots = 100, 6
+			completed := 0
+			for seed := range uint64(seeds) {
+				underLoad := func(f *fleet, _ time.Duration, _ float64) bool {
+					return f.rnd.Float64() < 0.5*float64(f.runOnTarget())/slots
+				}
+				loads := map[string]load{
+					"orders": {perSecond: ordersPerSecond, bad: underLoad}, "stock": {perSecond: stockPerSecond, bad: underLoad, failing: 0.25},
+				}
+				f := newFleetWithTraffic(daemons, limit, seed, loads)
+				f.latency, f.slots = latency, slots*targets
+				f.usualLatency = map[string]time.Duration{"orders": latency, "stock": latency}
+				f.serve(loads)
+				Expect(float64(f.target)).To(BeNumerically("<=", 0.1*float64(f.all)+50), "seed %d", seed)
+				if f.status.State != cutover.Reverted {
+					completed++
+				}
+			}
+			fmt.Println("COMPLETED", completed)
+			Expect(completed).To(BeNumerically("<=", seeds/20))
+		},
+		Entry("9 daemons, 8 s", 9, 8*time.Second, 60*time.Millisecond, 38.0, 15.0),
+		Entry("9 daemons, 12 s", 9, 12*time.Second, 60*time.Millisecond, 38.0, 15.0),
+		Entry("7 daemons, short requests, 12 s", 7, 12*time.Second, 22*time.Millisecond, 33.0, 13.0),
+	)
+
 	// Guards against a target that gets all requests before the order ends: a bad version
 	// that was not found bad exceeded its exposure by what it got after its completion.
 	DescribeTable("keeps the exposure until the time limit, also when the target is completed",
@@ -396,6 +448,8 @@
 		},
 		Entry("a rare route", 9, 40*time.Second, time.Second, map[string]load{"common": {perSecond: 5.7}, "rare": {perSecond: 0.53}}),
 		Entry("a rare route in a large fleet", 77, 15*time.Second, time.Second, map[string]load{"common": {perSecond: 28.5}, "rare": {perSecond: 2.66}}),
+		Entry("few requests, a quarter of which fail on one route", 7, 12*time.Second, 22*time.Millisecond, map[string]load{
+			"orders": {perSecond: 33}, "stock": {perSecond: 13, failing: 0.25}}),
 		Entry("routes that fail at all versions", 9, 10*time.Second, 60*time.Millisecond, map[string]load{
 			"orders": {perSecond: 38}, "stock": {perSecond: 15}, "broken": {perSecond: 1.5, broken: true}}),
 	)
--- a/cutover/evidence.go
+++ b/cutover/evidence.go
@@ -27,6 +27,11 @@
 	// either: to stay with the old version costs less than a bad one.
 	minSuspectOutcomes = 2
 	maxSuspectChance   = 2e-3
+	// A target is not completed either if it was less than minGoodLikelihood (a natural
+	// logarithm) likelier to be seen so of a good version than of one that fails worseBy of
+	// the requests that others answer.
+	worseBy           = 0.15
+	minGoodLikelihood = 1.0
 	// slowFactor is the multiple of the usual time above which an answer counts as
 	// bad. Bad versions are several times slower than usual.
 	slowFactor = 3
@@ -40,6 +45,9 @@
 	// rareRouteShare is the share of requests below which a route need not be
 	// examined.
 	rareRouteShare = 0.02
+	// noisyRouteRate is the rate of bad outcomes of the other versions from which on a
+	// request of a route tells little of the target.
+	noisyRouteRate = 0.1
 	// brokenRouteRate is the rate of bad outcomes of the other versions from which on
 	// a route cannot tell whether the target is bad.
 	brokenRouteRate = 0.5
@@ -222,6 +230,23 @@
 	return ""
 }
 
+// seemsWorse reports whether the target's outcomes, on all routes together, are not
+// clearly those of a good version. A fault that grows with the load shows in a few more
+// failures on each route, which are not certain on any.
+func (e Evidence) seemsWorse() bool {
+	likelihood, bad := 0.0, 0
+	for _, cell := range e.since(0) {
+		expected := max(cell.Others.baseRate(), cell.Others.rate())
+		if expected >= brokenRouteRate {
+			continue
+		}
+		worse := expected + worseBy*(1-expected)
+		likelihood += float64(cell.Target.Bad)*math.Log(expected/worse) + float64(cell.Target.Good)*math.Log((1-expected)/(1-worse))
+		bad += cell.Target.Bad
+	}
+	return bad >= minBadOutcomes && likelihood < minGoodLikelihood
+}
+
 // baseRate returns the rate of bad outcomes to expect of a good version. It is never
 // 0: a version without a bad outcome so far may have one.
 func (c Counts) baseRate() float64 { return (float64(c.Bad) + 0.5) / float64(c.total()+20) }
@@ -233,6 +258,10 @@
 	rate  float64
 	// unexamined holds the routes on which too little is known of the target.
 	unexamined map[string]bool
+	// noisy holds the routes that are left out of the rehearsal; rehearsedRate is the
+	// requests per second of the others.
+	noisy         map[string]bool
+	rehearsedRate float64
 }
 
 func (e examination) done() bool { return len(e.unexamined) == 0 }
@@ -240,18 +269,27 @@
 // examine finds the routes on which the target has too few outcomes. Rare routes,
 // and those on which the other versions fail too, need none.
 func (e Evidence) examine() examination {
-	out := examination{rates: e.Rates, unexamined: map[string]bool{}}
+	out := examination{rates: e.Rates, unexamined: map[string]bool{}, noisy: map[string]bool{}}
 	for _, rate := range e.Rates {
 		out.rate += rate
 	}
 	cells := e.since(0)
 	for route, rate := range e.Rates {
 		target, others := cells[route].Target, cells[route].Others
-		examined := target.total() >= minExaminedOutcomes || target.total() >= minCleanOutcomes && target.Bad == 0
+		noisy := others.Bad >= minBadOutcomes && others.rate() >= noisyRouteRate
+		examined := target.total() >= minExaminedOutcomes || target.total() >= minCleanOutcomes && target.Bad == 0 && !noisy
 		broken := others.Bad >= minBadOutcomes && others.rate() >= brokenRouteRate
 		if rate >= rareRouteShare*out.rate && !examined && !broken {
 			out.unexamined[route] = true
 		}
+		if noisy {
+			out.noisy[route] = true
+		} else {
+			out.rehearsedRate += rate
+		}
+	}
+	if out.rehearsedRate < out.rate/2 {
+		out.noisy, out.rehearsedRate = map[string]bool{}, out.rate
 	}
 	return out
 }
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -118,13 +118,35 @@
 	if c == nil {
 		return
 	}
-	f := cutover.Fleet{Daemons: view.Daemons}
-	for _, in := range view.Upstreams[r.service] {
-		if in.Version == c.Order().Target {
-			f.Targets++
+	target, _ := splitByVersion(view.Upstreams[r.service], c.Order().Target)
+	f := g.cutoverFleet(r, target)
+	f.Daemons = view.Daemons
+	r.useTargetVersion = c.Choose(r.route.Name, g.rnd.Float64(), now, f)
+}
+
+// cutoverFleet returns what a cutover has to know of the upstreams that run its
+// target. The caller holds g.mu.
+func (g *Gateway) cutoverFleet(r *request, target []registry.Instance) cutover.Fleet {
+	f := cutover.Fleet{Targets: len(target)}
+	for _, in := range target {
+		f.Slots += in.Slots
+	}
+	if r.engine == nil {
+		// The latency of a stream ends with its first event.
+		f.Latency = g.usualLatency
+	}
+	return f
+}
+
+func splitByVersion(all []registry.Instance, version string) (same, others []registry.Instance) {
+	for _, in := range all {
+		if in.Version == version {
+			same = append(same, in)
+		} else {
+			others = append(others, in)
 		}
 	}
-	r.useTargetVersion = c.Choose(r.route.Name, g.rnd.Float64(), now, f)
+	return same, others
 }
 
 // ofVersion returns the upstreams that run the version chosen for the request.
@@ -134,21 +156,14 @@
 	if c == nil {
 		return all
 	}
-	var target, others []registry.Instance
-	for _, in := range all {
-		if in.Version == c.Order().Target {
-			target = append(target, in)
-		} else {
-			others = append(others, in)
-		}
-	}
+	target, others := splitByVersion(all, c.Order().Target)
 	switch {
 	case c.State() == cutover.Completed && len(target) > 0:
 		return target
 	case c.State() == cutover.Completed:
 		return others
 	case r.useTargetVersion && !c.Stopped() && len(target) > 0:
-		return firstByRendezvous(r.service, target, c.UsableTargets(cutover.Fleet{Targets: len(target)}, time.Now()))
+		return firstByRendezvous(r.service, target, c.UsableTargets(g.cutoverFleet(r, target), time.Now()))
 	default:
 		return others
 	}
