directory: make fewer calls to the store when many daemons start

A daemon that finds the registration of an earlier process at its address keeps it. Watches pause for 500 ms before a daemon is ready, and for 300 ms after several answers in a row that hold only registrations.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -6,7 +6,9 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +26,13 @@
 	// probeWait is the wait of a call that only finds out whether the store answers.
 	probeWait = time.Millisecond
 	// watchPause is the pause after a watch that returned changes, so that several
-	// changes in quick succession cost one call.
-	watchPause = 150 * time.Millisecond
+	// changes in quick succession cost one call. longWatchPause is the pause after
+	// several such watches in a row that returned only registrations, and
+	// unreadyWatchPause the pause of a daemon that does not take requests yet, while
+	// others start, too.
+	watchPause        = 150 * time.Millisecond
+	longWatchPause    = 300 * time.Millisecond
+	unreadyWatchPause = 500 * time.Millisecond
 	// followWait is how long another daemon holds a long poll of this one.
 	followWait = 800 * time.Millisecond
 	// callTimeout is the time that a call may take in addition to the wait that it
@@ -54,6 +61,9 @@
 	// registerDelay is the range of the random delay that spreads the registrations
 	// of daemons that start together.
 	registerDelay = 2 * time.Second
+	// registrationCheckInterval is how often a daemon checks whether the registration
+	// of an earlier process has ended.
+	registrationCheckInterval = time.Second
 	// minRegisterRetry is the shortest pause after a registration that failed.
 	minRegisterRetry = 2 * time.Second
 )
@@ -158,14 +168,31 @@
 	onView      func(*View)
 	// confirmedAt is when the store last confirmed the content.
 	confirmedAt atomic.Pointer[time.Time]
-	// lease is the ID of the lease of this daemon's keys; 0 while it is not
-	// registered.
-	lease atomic.Uint64
+	// registered says that the store has this daemon's registration, by this process or
+	// by an earlier one.
+	registered atomic.Bool
+	leaseMu    sync.Mutex
+	// lease is the ID of the lease of this process's keys; 0 before the first one.
+	lease          uint64
+	leaseGrantedAt time.Time
 }
 
-// Lease returns the ID of the lease of this daemon's keys; 0 while it is not
-// registered.
-func (f *Follower) Lease() uint64 { return f.lease.Load() }
+// Lease returns the ID of the lease of this daemon's keys. It asks the store for one
+// if there is none that lasts for a while.
+func (f *Follower) Lease(ctx context.Context) (uint64, error) {
+	f.leaseMu.Lock()
+	defer f.leaseMu.Unlock()
+	if f.lease != 0 && time.Since(f.leaseGrantedAt) < peerLease/2 {
+		return f.lease, nil
+	}
+	now := time.Now()
+	lease, err := f.options.Store.Grant(ctx, peerLease)
+	if err != nil {
+		return 0, eris.Wrap(err, "grant the lease")
+	}
+	f.lease, f.leaseGrantedAt = lease, now
+	return lease, nil
+}
 
 // SetOnView sets the function that Run calls with each new view, in the goroutine
 // of Run. It must be called before Run.
@@ -227,6 +254,9 @@
 			if s.peersChanged {
 				s.peersChanged = false
 				chooser.SetPeers(s.peerList())
+				own, ok := s.peers[f.registrationKey()]
+				f.registered.Store(ok && own.Address == f.options.Self.Address && own.DataCentre == f.options.Self.DataCentre &&
+					own.LinkMbps == f.options.Self.LinkMbps)
 			}
 			queries <- f.nextQuery(s, chooser)
 		}
@@ -242,7 +272,7 @@
 	}
 	// Lapsed entries are dropped as soon as the store confirms at the end of their
 	// grace period that they are missing.
-	if end := s.registry.GraceEnd(); f.confirmedAt.Load().Before(end) {
+	if end := s.registry.GraceEnd(); s.confirmedAt.Before(end) {
 		q.wait = min(q.wait, max(end.Sub(now), probeWait))
 	}
 	if q.source.Kind == sources.AskPeers {
@@ -299,15 +329,14 @@
 	c.StoreAnswered()
 	s.registry.StoreAvailable(now)
 	s.storeReachable, s.sourceWorking = true, true
-	confirmed := now.Add(-o.update.Age)
-	f.confirmedAt.Store(&confirmed)
+	s.confirmedAt = now.Add(-o.update.Age)
 	f.applyUpdate(s, o.update, now)
 }
 
 // applyPeerUpdate applies what another daemon knows, if it is newer.
 func (f *Follower) applyPeerUpdate(s *state, u Update, now time.Time) {
-	if at := now.Add(-u.Age); at.After(*f.confirmedAt.Load()) && (!s.loaded || u.Revision >= s.revision) {
-		f.confirmedAt.Store(&at)
+	if at := now.Add(-u.Age); at.After(s.confirmedAt) && (!s.loaded || u.Revision >= s.revision) {
+		s.confirmedAt = at
 	}
 	if s.loaded && u.Revision <= s.revision {
 		return
@@ -329,7 +358,7 @@
 }
 
 func (f *Follower) publish(s *state) {
-	confirmed := *f.confirmedAt.Load()
+	confirmed := s.confirmedAt
 	if v, changed := s.view(confirmed); changed {
 		f.currentView.Store(v)
 		if f.onView != nil {
@@ -339,6 +368,7 @@
 	old := f.content.Load()
 	nearOutage := s.registry.NearOutage(confirmed)
 	if !s.loaded || old.Revision == s.revision && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
+		f.confirmedAt.Store(&confirmed)
 		return
 	}
 	next := &Content{
@@ -349,12 +379,37 @@
 		next.entries = append(next.entries, e)
 	}
 	f.content.Store(next)
+	// Later than the content: the store did not confirm the old one again.
+	f.confirmedAt.Store(&confirmed)
 	close(old.Changed)
 }
 
+// pauseAfter returns the pause after a call to the store that returned changes;
+// inARow is the number of such calls without one that waited for a change.
+func (f *Follower) pauseAfter(u Update, inARow int) time.Duration {
+	switch {
+	case !f.View().Ready:
+		return unreadyWatchPause
+	case inARow > 1 && !slices.ContainsFunc(u.Changes, func(c store.Change) bool { return !f.isRegistration(c.Entry) }):
+		return longWatchPause
+	}
+	return watchPause
+}
+
+// isRegistration reports whether an entry is the registration of an upstream or of a
+// daemon.
+func (f *Follower) isRegistration(e store.Entry) bool {
+	if strings.HasPrefix(e.Key, PeerPrefix) {
+		return true
+	}
+	_, ok, _ := f.options.Decoder.Instance(e)
+	return ok
+}
+
 // runQueries makes one call at a time.
 func (f *Follower) runQueries(ctx context.Context, queries <-chan query, outcomes chan<- outcome) {
 	var reader snapshotReader
+	changesInARow := 0
 	for {
 		var q query
 		select {
@@ -365,15 +420,22 @@
 		if q.source.Delay > 0 {
 			pause.For(ctx, q.source.Delay/2+rand.N(q.source.Delay))
 		}
+		began := time.Now()
 		u, err := f.runQuery(ctx, q, &reader)
 		select {
 		case <-ctx.Done():
 			return
 		case outcomes <- outcome{query: q, update: u, err: err}:
 		}
-		if q.source.Kind == sources.Store && len(u.Changes) > 0 {
-			pause.For(ctx, watchPause)
+		if q.source.Kind != sources.Store || len(u.Changes) == 0 {
+			changesInARow = 0
+			continue
+		}
+		if time.Since(began) > longWatchPause {
+			changesInARow = 0
 		}
+		changesInARow++
+		pause.For(ctx, f.pauseAfter(u, changesInARow))
 	}
 }
 
@@ -392,7 +454,7 @@
 		return f.options.Relay.FetchAny(callCtx, q.peers, q.after, followTimeout)
 	}
 	if q.snapshot {
-		return f.readSnapshot(ctx, q.after, reader)
+		return f.readSnapshot(ctx, q, reader)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, q.wait+callTimeout)
 	defer cancel()
@@ -400,11 +462,14 @@
 	return Update{Changes: changes, Revision: revision}, err
 }
 
-// readSnapshot reads the pages that are missing and returns the snapshot.
-func (f *Follower) readSnapshot(ctx context.Context, known uint64, reader *snapshotReader) (Update, error) {
+// readSnapshot reads the pages that are missing and returns the snapshot. The first
+// snapshot of a daemon may be some seconds old: the daemons that start together all
+// need one, and the next call brings what has changed since.
+func (f *Follower) readSnapshot(ctx context.Context, q query, reader *snapshotReader) (Update, error) {
+	reader.mayBeStale = q.after == 0
 	for {
 		began := time.Now()
-		page, err := f.readPage(ctx, reader.nextPageAfter(known, began))
+		page, err := f.readPage(ctx, reader.nextPageAfter(q.after, began), reader.mayBeStale)
 		if err != nil {
 			return Update{}, err
 		}
@@ -414,10 +479,10 @@
 	}
 }
 
-func (f *Follower) readPage(ctx context.Context, after string) (store.Page, error) {
+func (f *Follower) readPage(ctx context.Context, after string, mayBeStale bool) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	return f.options.Store.RangePage(ctx, "", after)
+	return f.options.Store.RangePage(ctx, "", after, mayBeStale)
 }
 
 // otherAddresses returns the relay addresses of the other daemons in random
@@ -441,12 +506,17 @@
 	return out
 }
 
-// keepRegistered keeps this daemon's address in the store until ctx ends.
+// keepRegistered keeps this daemon's address in the store until ctx ends. The
+// registration of an earlier process at the same address is left as it is until its
+// lease ends, because each one costs two calls.
 func (f *Follower) keepRegistered(ctx context.Context) {
 	if f.options.Self.Address == "" {
 		return
 	}
 	pause.For(ctx, rand.N(registerDelay))
+	for ctx.Err() == nil && f.registered.Load() {
+		pause.For(ctx, registrationCheckInterval)
+	}
 	for ctx.Err() == nil {
 		if err := f.registerOnce(ctx); err != nil {
 			f.options.Logger.Warn("registration of this daemon failed; retrying", "cause", err)
@@ -458,6 +528,11 @@
 	}
 }
 
+// registrationKey returns the key of this daemon's registration.
+func (f *Follower) registrationKey() string {
+	return PeerPrefix + strings.ReplaceAll(f.options.Self.Name, "/", "-")
+}
+
 func (f *Follower) registerOnce(ctx context.Context) error {
 	value, err := json.Marshal(peerEntry{Address: f.options.Self.Address, DataCentre: f.options.Self.DataCentre, LinkMbps: f.options.Self.LinkMbps})
 	if err != nil {
@@ -465,10 +540,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	lease, err := f.options.Store.Grant(callCtx, peerLease)
+	lease, err := f.Lease(callCtx)
 	if err != nil {
 		return err
 	}
-	f.lease.Store(lease)
-	return f.options.Store.PutLeased(callCtx, PeerPrefix+strings.ReplaceAll(f.options.Self.Name, "/", "-"), value, lease)
+	return f.options.Store.PutLeased(callCtx, f.registrationKey(), value, lease)
 }
--- a/directory/state.go
+++ b/directory/state.go
@@ -110,7 +110,9 @@
 	// entries holds the store's entries as they were read, for the relay.
 	entries  map[string]store.Entry
 	revision uint64
-	loaded   bool
+	// confirmedAt is when the store last confirmed the content.
+	confirmedAt time.Time
+	loaded      bool
 	// compacted says that the store no longer has the changes after revision.
 	compacted bool
 	// sourceWorking says that, by its last answer, the current source is up to date:
--- a/directory/whole.go
+++ b/directory/whole.go
@@ -20,6 +20,8 @@
 	entries  []store.Entry
 	// after is the key after which the next page begins; empty for the first page.
 	after string
+	// mayBeStale says that the pages may be older than the store's content.
+	mayBeStale bool
 }
 
 // nextPageAfter returns the key after which the next page begins. Pages that
@@ -27,7 +29,7 @@
 // first.
 func (r *snapshotReader) nextPageAfter(known uint64, now time.Time) string {
 	if now.Sub(r.began) > maxPartialAge || r.revision < known {
-		*r = snapshotReader{}
+		*r = snapshotReader{mayBeStale: r.mayBeStale}
 	}
 	return r.after
 }
@@ -40,6 +42,8 @@
 		// changed while the other pages were read.
 		r.began, r.revision, r.entries = now, p.Revision, nil
 	}
+	// Pages that may be stale differ in their age.
+	r.revision = min(r.revision, p.Revision)
 	r.entries = append(r.entries, p.Entries...)
 	if len(p.Entries) == 0 || !p.More {
 		return true
@@ -51,6 +55,9 @@
 // finish returns the snapshot and resets the reader.
 func (r *snapshotReader) finish(now time.Time) Update {
 	u := Update{Snapshot: true, Entries: r.entries, Revision: r.revision, Age: now.Sub(r.began)}
+	if r.mayBeStale {
+		u.Age = maxAge
+	}
 	*r = snapshotReader{}
 	return u
 }
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -83,9 +83,9 @@
 	if err != nil {
 		panic(err) // counts by name can always be encoded
 	}
-	lease := e.follower.Lease()
-	if lease == 0 {
-		return eris.New("daemon has no lease yet")
+	lease, err := e.follower.Lease(ctx)
+	if err != nil {
+		return eris.Wrap(err, "get the lease of this daemon's keys")
 	}
 	return e.o.Store.PutLeased(ctx, key, b, lease)
 }
--- a/store/watch.go
+++ b/store/watch.go
@@ -35,8 +35,9 @@
 // implements it.
 type Watcher interface {
 	// RangePage returns the next entries below prefix in order of their keys, from
-	// the first key after the key named by after.
-	RangePage(ctx context.Context, prefix, after string) (Page, error)
+	// the first key after the key named by after. A page that mayBeStale can be some
+	// seconds old and costs the store less.
+	RangePage(ctx context.Context, prefix, after string, mayBeStale bool) (Page, error)
 	// Watch returns the changes below prefix that follow the revision after, as soon
 	// as there is one, or none after wait. It also returns the revision from which to
 	// continue. It returns ErrCompacted when the watch cannot continue.
