sources: stay away from a store that other daemons see

Calls to the store are the dearest price of the large deployment.

Cause: a daemon that met a followed one which does not see the store counted as one that does not see it either, until its next answer. It tried that one again each second, so its own followers left it each second, and theirs. After two such daemons a follower asked the store, at the full rate of a watcher.

Change: while a source that works is looked for, the last one counts. Up to five daemons are passed over, distributed over the first ranks. In an outage the first three daemons of a data centre find out that the store answers again; the others call it after 1, 2 and 4 s.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
+	"github.com/gooseberryroad/gooseberryroad/membership"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
@@ -517,6 +518,28 @@
 		Consistently(func() bool { return f1.Content().UpToDate() || f2.Content().UpToDate() }, "1s").Should(BeFalse())
 	})
 
+	// A daemon whose watcher is turned away by the store asks it again each second. Its own
+	// followers must not take it for one that does not see the store: they turned to the
+	// store too, and their followers after them.
+	It("stays up to date for its followers while the daemon before it is turned away", func() {
+		followers := map[string]*directory.Follower{}
+		for _, name := range []string{"d1", "d2"} {
+			st.put(directory.PeerPrefix+name, `{"address":"`+name+`","data_centre":"x"}`)
+		}
+		for _, name := range []string{"d1", "d2"} {
+			followers[name] = start(name)
+			Eventually(version(followers[name]), "3s").Should(BeEquivalentTo(1))
+		}
+		first, second := "d1", "d2"
+		if membership.RendezvousWeight("x", "d2") > membership.RendezvousWeight("x", "d1") {
+			first, second = second, first
+		}
+		st.setUnavailable(first, true)
+		Eventually(func() bool { return followers[first].Content().UpToDate() }, "4s").Should(BeFalse())
+		Eventually(func() bool { return followers[second].Content().UpToDate() }, "3s").Should(BeTrue())
+		Consistently(func() bool { return followers[second].Content().UpToDate() }, "4s", "1ms").Should(BeTrue())
+	})
+
 	// The number of calls to the store must not grow with the number of daemons.
 	It("lets one daemon of a data centre watch the store for all", func() {
 		var all []*directory.Follower
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -61,6 +61,9 @@
 	// registerDelay is the range of the random delay that spreads the registrations
 	// of daemons that start together.
 	registerDelay = 2 * time.Second
+	// loadCheckInterval is how often a daemon that is to register checks whether the
+	// directory has been read.
+	loadCheckInterval = 50 * time.Millisecond
 	// registrationCheckInterval is how often a daemon checks whether the registration
 	// of an earlier process has ended.
 	registrationCheckInterval = time.Second
@@ -168,6 +171,8 @@
 	onView      func(*View)
 	// confirmedAt is when the store last confirmed the content.
 	confirmedAt atomic.Pointer[time.Time]
+	// loaded says that the directory has been read once.
+	loaded atomic.Bool
 	// registered says that the store has this daemon's registration, by this process or
 	// by an earlier one.
 	registered atomic.Bool
@@ -258,6 +263,7 @@
 				f.registered.Store(ok && own.Address == f.options.Self.Address && own.DataCentre == f.options.Self.DataCentre &&
 					own.LinkMbps == f.options.Self.LinkMbps)
 			}
+			f.loaded.Store(s.loaded)
 			queries <- f.nextQuery(s, chooser)
 		}
 		f.publish(s)
@@ -301,7 +307,8 @@
 		}
 		c.PeerAnswered(name, o.update.UpToDate, now)
 		f.applyPeerUpdate(s, o.update, now)
-		s.sourceWorking = o.update.UpToDate
+		// While a source that works is looked for, the last one counts.
+		s.sourceWorking = s.sourceWorking || o.update.UpToDate
 	default:
 		f.handleStoreOutcome(s, c, o, now)
 	}
@@ -513,6 +520,9 @@
 	if f.options.Self.Address == "" {
 		return
 	}
+	for ctx.Err() == nil && !f.loaded.Load() {
+		pause.For(ctx, loadCheckInterval)
+	}
 	pause.For(ctx, rand.N(registerDelay))
 	for ctx.Err() == nil && f.registered.Load() {
 		pause.For(ctx, registrationCheckInterval)
--- a/sources/sources.go
+++ b/sources/sources.go
@@ -35,9 +35,10 @@
 	// in two hops.
 	maxFollowers = 8
 	// maxStalePeers is how many daemons that do not see the store are passed over
-	// before this one asks the store itself. A few are passed over first so that not
-	// all daemons turn to the store when it is unavailable.
-	maxStalePeers = 2
+	// before this one asks the store itself. When the store turns a third of the daemons
+	// away, the daemon above this one and the one above that are both turned away often
+	// enough for a quarter of the fleet to ask the store.
+	maxStalePeers = 5
 	// maxPeerFailures is the number of followed daemons that may fail one after the
 	// other before this one asks the store: each failure takes about a second, and
 	// the directory must not be out of date for longer than the operators' bounds.
@@ -46,6 +47,12 @@
 	// store that does not answer; the platform counts refused calls too.
 	minStoreRetryDelay = 100 * time.Millisecond
 	maxStoreRetryDelay = 1 * time.Second
+	// firstProbers daemons of a data centre find out within maxStoreRetryDelay that the
+	// store answers again. The others learn it from them, and call it themselves only
+	// after minFollowerRetryDelay, and less and less up to maxFollowerRetryDelay.
+	firstProbers          = 3
+	minFollowerRetryDelay = 1 * time.Second
+	maxFollowerRetryDelay = 4 * time.Second
 )
 
 // Peer is a daemon that registered itself.
@@ -156,9 +163,14 @@
 		isAncestor[i] = true
 		out = append(out, ranked[i])
 	}
-	for i, p := range ranked[:rank] {
+	// Daemons that cannot follow an ancestor are distributed over the first ranks.
+	spread := min(maxFollowers, rank)
+	for i := range rank {
+		if i < spread {
+			i = (i + rank) % spread
+		}
 		if !isAncestor[i] {
-			out = append(out, p)
+			out = append(out, ranked[i])
 		}
 	}
 	return out
@@ -190,7 +202,11 @@
 	}
 	s := Source{Kind: Store, Probe: c.storeFailures > 0}
 	if c.storeFailures > 0 {
-		s.Delay = min(minStoreRetryDelay<<min(c.storeFailures-1, 4), maxStoreRetryDelay)
+		first, limit := minStoreRetryDelay, maxStoreRetryDelay
+		if loaded && len(c.candidates) >= firstProbers {
+			first, limit = minFollowerRetryDelay, maxFollowerRetryDelay
+		}
+		s.Delay = min(first<<min(c.storeFailures-1, 6), limit)
 	}
 	return s
 }
