gateway: hear upstreams that leave or ask for a pause in their answers

It counts neither against the upstream nor against its version. When all upstreams are paused beyond the search, the client is told at once when the first of them is back.

--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -48,6 +48,9 @@
 		return
 	}
 	now := time.Now()
+	if s.g.paused(p.upstream, now) {
+		return
+	}
 	present := p.copyTo.ID != "" && s.g.available(p.copyTo, now)
 	if present && !c.copyByCalls || now.Sub(c.lastCallAt) < recopyInterval {
 		return
@@ -124,7 +127,21 @@
 func (g *Gateway) available(in registry.Instance, now time.Time) bool {
 	lost := false
 	g.withTracker(func(b *placement.Tracker) { lost = b.FailedOrReplaced(in.ID, now) })
-	return !lost && g.registered(in)
+	return !lost && !g.noticed(in, now) && g.registered(in)
+}
+
+// noticed reports whether an upstream gets no work by its own word.
+func (g *Gateway) noticed(in registry.Instance, now time.Time) bool {
+	reason := placement.NoNotice
+	g.withTracker(func(b *placement.Tracker) { reason, _ = b.Notice(in, now) })
+	return reason != placement.NoNotice
+}
+
+// paused reports whether an upstream asked for a pause that has not ended.
+func (g *Gateway) paused(in registry.Instance, now time.Time) bool {
+	reason := placement.NoNotice
+	g.withTracker(func(b *placement.Tracker) { reason, _ = b.Notice(in, now) })
+	return reason == placement.NoticePause
 }
 
 // copyRun asks the engine of a run to copy the run's KV cache to another
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -127,6 +127,9 @@
 	})
 	if err == nil {
 		resp.Body.Close()
+		if g.checkInstance(in, resp.Header) == nil {
+			g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), r.ID)
+		}
 		return false
 	}
 	g.o.Logger.Info("no response from an upstream that was checked after it broke off", "id", r.ID, "upstream", in.ID, "cause", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.SetRegistered(v.All)
+	g.tracker.DropNotices(v.All, time.Now())
 	g.updateCutovers(v, time.Now())
 	g.forgetRemovedRoutes(v)
 	g.adopted.DropUnregistered(v.All)
@@ -136,7 +137,9 @@
 	if len(excluded) > 0 {
 		candidates = slices.DeleteFunc(slices.Clone(candidates), func(in registry.Instance) bool { return excluded[in.ID] })
 	}
-	return g.tracker.Rank(candidates, r.remoteBias(), time.Now())
+	now := time.Now()
+	g.countNoticed(candidates, now)
+	return g.tracker.Rank(candidates, r.remoteBias(), now)
 }
 
 // withTracker calls f with g.mu held.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/routes"
 )
 
@@ -59,6 +60,11 @@
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_stream_moves_total{step="` + step + `"}`).Inc()
 }
 
+// countLeftOut counts the upstreams that a choice left out by their own word.
+func countLeftOut(reason placement.NoticeReason) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 // countCutoverOutcome counts the outcomes of requests to a service that is being
 // moved to another version.
 func countCutoverOutcome(target, bad bool) {
--- /dev/null
+++ b/gateway/notices.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/placement"
+	"github.com/gooseberryroad/gooseberryroad/registry"
+)
+
+// errPauseAsked reports an answer by which an upstream turned a request away and asked
+// for a pause. It is no failure of the upstream.
+var errPauseAsked = errors.New("upstream asked for a pause")
+
+// The codes of refusals while all upstreams of a service get no work by their own word.
+const (
+	codePaused  = "upstreams_paused"
+	codeLeaving = "upstreams_leaving"
+)
+
+// recordNotices records what an upstream says of itself in the head of an answer to the
+// request with the given ID. Another upstream at the address says nothing of this one.
+func (g *Gateway) recordNotices(in registry.Instance, head ResponseHead, id string) {
+	if head.Misdirected {
+		return
+	}
+	if head.Leaving {
+		news := false
+		g.withTracker(func(b *placement.Tracker) { news = b.SaidLeaving(in) })
+		if news {
+			g.o.Logger.Info("upstream says that it leaves", "upstream", in.ID, "data_centre", in.DataCentre, "id", id)
+		}
+	}
+	if head.PauseErr != nil {
+		g.o.Logger.Warn("pause of an upstream ignored", "upstream", in.ID, "id", id, "cause", head.PauseErr)
+	}
+	if head.Pause > 0 {
+		g.recordPause(in, head.Pause, id)
+	}
+}
+
+func (g *Gateway) recordPause(in registry.Instance, pause time.Duration, id string) {
+	var until time.Time
+	news := false
+	now := time.Now()
+	g.withTracker(func(b *placement.Tracker) { until, news = b.AskedPause(in, pause, now) })
+	if pause > placement.MaxPause {
+		g.o.Logger.Warn("pause of an upstream shortened", "upstream", in.ID, "id", id, "pause", pause, "limit", placement.MaxPause)
+	}
+	if news {
+		g.o.Logger.Info("upstream asks for a pause", "upstream", in.ID, "data_centre", in.DataCentre, "id", id, "pause", until.Sub(now))
+		time.AfterFunc(until.Sub(now), func() { g.logPauseEnd(in) })
+	}
+}
+
+// logPauseEnd logs the end of a pause, after it was prolonged if necessary.
+func (g *Gateway) logPauseEnd(in registry.Instance) {
+	now := time.Now()
+	var reason placement.NoticeReason
+	var until time.Time
+	g.withTracker(func(b *placement.Tracker) { reason, until = b.Notice(in, now) })
+	if reason == placement.NoticePause && until.After(now) {
+		time.AfterFunc(until.Sub(now), func() { g.logPauseEnd(in) })
+		return
+	}
+	g.o.Logger.Info("pause of an upstream ended", "upstream", in.ID)
+}
+
+// pauseCause wraps the cause of a failed attempt if its answer asked for a pause.
+func pauseCause(head ResponseHead, cause error) error {
+	if head.Pause <= 0 || cause == nil {
+		return cause
+	}
+	return errors.Join(errPauseAsked, cause)
+}
+
+// allNoticed reports whether all upstreams that may serve a request get no work by
+// their own word, and when the first of them takes work again; the zero time if all of
+// them leave.
+func (g *Gateway) allNoticed(r *request, now time.Time) (soonest time.Time, all bool) {
+	upstreams := g.o.Directory.View().Upstreams[r.service]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.AllNoticed(g.adopted.Apply(g.ofVersion(r, upstreams)), now)
+}
+
+// refuseNoticed returns the code of the refusal of a request that no upstream takes by
+// its own word before giveUpAt, and the time after which one does; the code is empty
+// if the request should wait.
+func (g *Gateway) refuseNoticed(r *request, now, giveUpAt time.Time) (code string, retryAfter time.Duration) {
+	soonest, all := g.allNoticed(r, now)
+	switch {
+	case !all:
+		return "", 0
+	case soonest.IsZero() && now.Before(giveUpAt):
+		// Another upstream may register at any moment.
+		return "", 0
+	case soonest.IsZero():
+		return codeLeaving, 0
+	case soonest.Before(giveUpAt):
+		return "", 0
+	}
+	return codePaused, max(soonest.Sub(now), time.Millisecond)
+}
+
+// countNoticed counts the candidates of a choice that are left out by their own word.
+// The caller holds g.mu.
+func (g *Gateway) countNoticed(candidates []registry.Instance, now time.Time) {
+	if !g.tracker.HasNotices() {
+		return
+	}
+	for _, in := range candidates {
+		if reason, _ := g.tracker.Notice(in, now); reason != placement.NoNotice {
+			countLeftOut(reason)
+		}
+	}
+}
+
+// checkInstance returns an error if another upstream than the expected one answered a
+// control call.
+func (g *Gateway) checkInstance(in registry.Instance, h http.Header) error {
+	if id := g.o.Protocol.InstanceID(h); id != "" && id != in.ID {
+		return eris.Errorf("upstream %s answered in place of %s", id, in.ID)
+	}
+	return nil
+}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -79,6 +79,12 @@
 	Misdirected bool
 	// Load is nil if the upstream does not report its load.
 	Load *placement.Load
+	// Leaving says that the upstream leaves and wants no new requests.
+	Leaving bool
+	// Pause is how long the upstream wants nothing from this daemon; 0 is no pause.
+	// PauseErr tells why a pause cannot be read.
+	Pause    time.Duration
+	PauseErr error
 }
 
 // EngineReport is the state that an engine reports.
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -77,10 +77,15 @@
 				return s.withCopyTarget(assignment{upstream: in}, ranked), true
 			}
 		}
-		limit := time.Duration(streamSearchShare * float64(s.r.route.TargetLatency))
-		if !s.headSent && s.runs == 0 && now.Add(delay).Sub(s.r.arrivedAt) > limit {
-			s.stopReason = "no_upstream"
-			return assignment{}, false
+		if !s.headSent && s.runs == 0 {
+			giveUpAt := s.r.arrivedAt.Add(time.Duration(streamSearchShare * float64(s.r.route.TargetLatency)))
+			if s.stopReason, s.retryAfter = s.g.refuseNoticed(s.r, now.Add(delay), giveUpAt); s.stopReason != "" {
+				return assignment{}, false
+			}
+			if now.Add(delay).After(giveUpAt) {
+				s.stopReason = "no_upstream"
+				return assignment{}, false
+			}
 		}
 		pause.For(ctx, delay)
 		delay = min(2*delay, maxRetryPause)
@@ -181,7 +186,7 @@
 	}
 	// This is checked after the wait, in which the engine may have announced that
 	// it leaves.
-	if !s.g.registered(p.copyTo) {
+	if !s.g.registered(p.copyTo) || s.g.noticed(p.copyTo, time.Now()) {
 		s.g.o.Logger.Info("engine with the copy is leaving or no longer registered", "id", s.r.ID, "copy", p.copyTo.ID)
 		return s.findUpstream(ctx)
 	}
@@ -328,6 +333,9 @@
 		return nil, nil, err
 	}
 	defer resp.Body.Close()
+	if err := g.checkInstance(in, resp.Header); err == nil {
+		g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), "")
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "read the engine's response")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -66,6 +66,8 @@
 	runs       int
 	runEvents  int
 	stopReason string
+	// retryAfter is when the client may come back; 0 is not known.
+	retryAfter time.Duration
 }
 
 // serveStream forwards the events of a stream as they arrive, and continues the
@@ -129,7 +131,10 @@
 			"events", s.state.Events(), "runs", s.runs, "took", now.Sub(s.r.arrivedAt))
 		panic(http.ErrAbortHandler)
 	}
-	f := refusal{status: http.StatusServiceUnavailable, code: s.stopReason, retryAfter: s.g.streamRetryAfter()}
+	f := refusal{status: http.StatusServiceUnavailable, code: s.stopReason, retryAfter: s.retryAfter}
+	if f.retryAfter == 0 {
+		f.retryAfter = s.g.streamRetryAfter()
+	}
 	if s.runs > 0 {
 		f = refusal{status: http.StatusBadGateway, code: s.stopReason}
 		if s.r.timeLeft(now) < minAttemptTime {
@@ -206,7 +211,7 @@
 		select {
 		case m := <-messages:
 			if m.end {
-				if m.verdict == verdictBroken && s.runEvents <= maxEventsBeforeCrash {
+				if m.verdict == verdictBroken && s.runEvents <= maxEventsBeforeCrash && !errors.Is(m.err, errPauseAsked) {
 					g.recordCrash(ctx, s.r, p.upstream, began)
 				}
 				next := s.handleEnd(*p, m, began)
@@ -278,8 +283,10 @@
 	s.attemptTracker.Attempted(true)
 	s.excluded[p.upstream.ID] = true
 	s.g.leaveTrial(s.r, p.upstream)
-	s.g.recordOutcome(s.r, p.upstream, true, began)
-	s.g.withTracker(func(b *placement.Tracker) { b.Failed(p.upstream, now) })
+	if !errors.Is(cause, errPauseAsked) {
+		s.g.recordOutcome(s.r, p.upstream, true, began)
+		s.g.withTracker(func(b *placement.Tracker) { b.Failed(p.upstream, now) })
+	}
 	s.g.o.Logger.Info("upstream lost", "id", s.r.ID, "upstream", p.upstream.ID, "data_centre", p.upstream.DataCentre,
 		"events", s.state.Events(), "after", s.lastEventID, "run_time", now.Sub(began), "next", step.String(),
 		"copy", p.copyTo.ID, "cause", cause)
@@ -319,7 +326,9 @@
 			"verdict", m.verdict.String(), "restore", p.restoreFrom != nil, "took", now.Sub(s.r.arrivedAt), "cause", m.err)
 		return failover.StepRestart
 	case m.verdict == verdictErred && !s.headSent && !s.mayRunAgain():
-		s.g.recordOutcome(s.r, p.upstream, true, began)
+		if !errors.Is(m.err, errPauseAsked) {
+			s.g.recordOutcome(s.r, p.upstream, true, began)
+		}
 		s.g.deliver(s.w, s.r, p.upstream, m.failure)
 		return failover.StepWait
 	}
@@ -391,6 +400,7 @@
 	}
 	defer resp.Body.Close()
 	head := s.g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header)
+	s.g.recordNotices(p.upstream, head, s.r.ID)
 	if head.Load != nil {
 		s.g.withTracker(func(b *placement.Tracker) { b.SetLoad(p.upstream.ID, *head.Load, time.Now()) })
 	}
@@ -421,7 +431,7 @@
 	if err == nil && len(b) > freeResponseBytes {
 		err = eris.Errorf("failure response is longer than %d bytes", freeResponseBytes)
 	}
-	cause := eris.Errorf("upstream responded with status %d", status)
+	cause := pauseCause(head, eris.Errorf("upstream responded with status %d", status))
 	switch {
 	case head.Misdirected:
 		return runMessage{end: true, verdict: verdictGone, err: cause}
@@ -430,7 +440,7 @@
 	case err != nil:
 		return runMessage{end: true, verdict: verdictBroken, err: err}
 	case !head.Sealed:
-		return runMessage{end: true, verdict: verdictBroken, err: eris.Errorf("response with status %d has no proof that the upstream made it", status)}
+		return runMessage{end: true, verdict: verdictBroken, err: pauseCause(head, eris.Errorf("response with status %d has no proof that the upstream made it", status))}
 	}
 	return runMessage{end: true, verdict: verdictErred, err: cause, failure: &bufferedResponse{status: status, header: h, body: b}}
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -75,7 +75,9 @@
 		t.recordAttempt(in, v, err, began)
 		switch v {
 		case verdictBroken:
-			g.recordCrash(ctx, r, in, began)
+			if !errors.Is(err, errPauseAsked) {
+				g.recordCrash(ctx, r, in, began)
+			}
 		case verdictAnswered:
 			g.recordCompletion(r)
 			g.deliver(w, r, in, resp)
@@ -108,7 +110,9 @@
 	runs           int
 	outcomeUnknown bool
 	stopReason     string
-	pause          time.Duration
+	// retryAfter is when the client may come back; 0 is not known.
+	retryAfter time.Duration
+	pause      time.Duration
 	// failedResponse is a response by which failedUpstream reported its own
 	// failure. It is delivered if no other upstream gives a better one.
 	failedResponse *bufferedResponse
@@ -147,7 +151,12 @@
 			}
 			return ranked[0].Instance, true
 		}
-		if t.runs > 0 || !t.mayAskAgain(now) {
+		if t.runs == 0 {
+			if t.stopReason, t.retryAfter = t.g.refuseNoticed(t.r, now.Add(t.pause), t.giveUpAt()); t.stopReason != "" {
+				return registry.Instance{}, false
+			}
+		}
+		if t.runs > 0 || !now.Add(t.pause).Before(t.giveUpAt()) {
 			t.stopReason = "no_upstream"
 			return registry.Instance{}, false
 		}
@@ -157,11 +166,9 @@
 	}
 }
 
-// mayAskAgain reports whether the time for the search allows another round
-// after the next pause.
-func (t *upstreamSearch) mayAskAgain(now time.Time) bool {
-	search := time.Duration(searchShare * float64(t.r.route.TargetLatency))
-	return now.Add(t.pause).Sub(t.r.arrivedAt) < search
+// giveUpAt is until when the request searches for an upstream while none takes it.
+func (t *upstreamSearch) giveUpAt() time.Time {
+	return t.r.arrivedAt.Add(time.Duration(searchShare * float64(t.r.route.TargetLatency)))
 }
 
 // timeout bounds one attempt. Only a request that may be repeated abandons an
@@ -180,7 +187,8 @@
 	now := time.Now()
 	countAttempt(v)
 	t.attemptTracker.Attempted(v.maybeReceived())
-	if v == verdictAnswered || v == verdictErred || v == verdictBroken {
+	paused := errors.Is(err, errPauseAsked)
+	if !paused && (v == verdictAnswered || v == verdictErred || v == verdictBroken) {
 		t.g.recordOutcome(t.r, in, v != verdictAnswered, began)
 	}
 	t.g.recordSettled(t.r, in, began)
@@ -189,6 +197,9 @@
 	}
 	t.excluded[in.ID] = true
 	t.g.withTracker(func(b *placement.Tracker) {
+		if paused {
+			return
+		}
 		switch v {
 		case verdictErred:
 			b.AnsweredError(in.ID)
@@ -226,7 +237,11 @@
 	case t.outcomeUnknown:
 		return refusal{status: http.StatusBadGateway, code: "answer_lost"}
 	default:
-		return refusal{status: http.StatusServiceUnavailable, code: t.stopReason, retryAfter: t.g.retryAfter(t.r)}
+		after := t.retryAfter
+		if after == 0 {
+			after = t.g.retryAfter(t.r)
+		}
+		return refusal{status: http.StatusServiceUnavailable, code: t.stopReason, retryAfter: after}
 	}
 }
 
@@ -258,6 +273,7 @@
 	}
 	defer resp.Body.Close()
 	head := g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header)
+	g.recordNotices(in, head, r.ID)
 	body, reserved, err := g.heldBodies.readResponse(resp.Body)
 	r.heldResponseBytes += reserved
 	if err != nil {
@@ -271,14 +287,14 @@
 		return nil, verdictGone, eris.New("another upstream responded at the address")
 	}
 	if head.NotRun {
-		return nil, verdictNotRun, eris.Errorf("upstream responded with status %d", resp.Status)
+		return nil, verdictNotRun, pauseCause(head, eris.Errorf("upstream responded with status %d", resp.Status))
 	}
 	if !head.Sealed {
-		return nil, verdictBroken, eris.Errorf("response with status %d has no proof that the upstream made it", resp.Status)
+		return nil, verdictBroken, pauseCause(head, eris.Errorf("response with status %d has no proof that the upstream made it", resp.Status))
 	}
 	out := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError {
-		return out, verdictErred, eris.Errorf("upstream responded with status %d", resp.Status)
+		return out, verdictErred, pauseCause(head, eris.Errorf("upstream responded with status %d", resp.Status))
 	}
 	g.withTracker(func(b *placement.Tracker) { b.Succeeded(in.ID, now.Sub(began)) })
 	return out, verdictAnswered, nil
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -120,6 +120,9 @@
 	upstreams  map[string]*upstreamState
 	// members holds the IDs of the registered upstreams of each group.
 	members map[group][]string
+	// notices holds what upstreams said of themselves, by instance ID, for those that
+	// leave or asked for a pause.
+	notices map[string]*notice
 }
 
 // group identifies the upstreams of a service in one data centre, which tend to
@@ -128,7 +131,7 @@
 
 // NewTracker returns a tracker for a daemon in the given data centre.
 func NewTracker(dataCentre string, rnd *rand.Rand) *Tracker {
-	return &Tracker{dataCentre: dataCentre, rnd: rnd, upstreams: map[string]*upstreamState{}}
+	return &Tracker{dataCentre: dataCentre, rnd: rnd, upstreams: map[string]*upstreamState{}, notices: map[string]*notice{}}
 }
 
 func (t *Tracker) state(id string) *upstreamState {
@@ -185,6 +188,7 @@
 func (t *Tracker) Accepted(id string) {
 	s := t.state(id)
 	s.refusals, s.fullUntil = 0, time.Time{}
+	t.resumed(id)
 }
 
 // SlotFreed records that a request that ran at an upstream has ended, so that a
@@ -235,6 +239,7 @@
 	s.fullUntil = time.Time{}
 	s.pausedUntil, s.unconnectedUntil = time.Time{}, time.Time{}
 	s.failureRate *= 1 - ewmaWeight
+	t.resumed(id)
 	if took <= 0 {
 		return
 	}
@@ -337,8 +342,8 @@
 
 // Rank returns the candidates in order, best first. Paused upstreams come last;
 // upstreams of a data centre whose upstreams fail together get a worse score.
-// Those that were replaced, or to which no connection could be opened a moment
-// ago, are left out. remotePenalty is the number of additional requests at which
+// Those that were replaced, that leave or asked for a pause, or to which no connection
+// could be opened a moment ago, are left out. remotePenalty is the number of additional requests at which
 // an upstream of another data centre is preferred: traffic between data centres
 // costs money, and a data centre that is cut off loses what runs outside it.
 func (t *Tracker) Rank(candidates []registry.Instance, remotePenalty float64, now time.Time) []Ranked {
@@ -357,6 +362,9 @@
 		if now.Before(s.replacedUntil) || now.Before(s.unconnectedUntil) {
 			continue
 		}
+		if reason, _ := t.Notice(in, now); reason != NoNotice {
+			continue
+		}
 		groupFails := failing[group{in.Service, in.DataCentre}]
 		out = append(out, Ranked{
 			Instance:       in,
