upstream, gateway: a refusal that is written twice answers no later try

A replica that writes an earlier refusal once more on a kept connection made an order run twice (TWICE): the first try of an order is refused, the daemon tries the same replica again on the kept connection, reads the second copy of the refusal, which has the order's ID, as the answer, and sends the order a third time while the second try runs. A copy without an ID did the same to any order.

Change: the connection is closed after an answer that says that the request did not run, so that no later try of the same request shares it. On a connection on which answers name their request, one that does not is an error with an unknown outcome.

--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -328,6 +328,10 @@
 			return id == "" || id == r.ID
 		},
 	}
+	req.Identified = func(h http.Header) bool { return g.o.Protocol.DecodeResponseHead(0, h).ID != "" }
+	// An upstream that writes a refusal twice answers the next try of the same request
+	// with it, although it runs that one.
+	req.CloseAfter = func(status int, h http.Header) bool { return g.o.Protocol.DecodeResponseHead(status, h).NotRun }
 	if !r.route.Repeatable() {
 		req.MaxIdle = nonIdempotentMaxIdle
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -63,6 +63,13 @@
 	// Matches reports whether a response with these headers belongs to this
 	// request. If it is nil, every response does.
 	Matches func(http.Header) bool
+	// Identified reports whether a response with these headers says to which request it
+	// belongs. On a connection on which one did, a response that does not is an error. If it
+	// is nil, responses need not say so.
+	Identified func(http.Header) bool
+	// CloseAfter reports whether the connection is closed after a complete response. If it
+	// is nil, the connection may be kept.
+	CloseAfter func(status int, h http.Header) bool
 	// MaxIdle bounds how long a reused connection may have been idle; 0 leaves only
 	// the pool's own bound.
 	MaxIdle time.Duration
@@ -84,6 +91,8 @@
 	idleSince time.Time
 	expires   time.Time
 	closed    atomic.Bool
+	// identified is set once a response said to which request it belongs.
+	identified bool
 }
 
 func newConn(nc net.Conn, addr string) *conn {
@@ -208,7 +217,7 @@
 			continue
 		}
 		if r.Matches == nil || r.Matches(res.Header) {
-			return res, nil
+			return res, c.attribute(res, r)
 		}
 		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			return nil, eris.New("response to another request has no length")
@@ -224,6 +233,20 @@
 	return nil, eris.New("too many informational responses or responses to other requests")
 }
 
+// attribute returns an error if a response may belong to an earlier request, and marks
+// it as the last one of its connection if the request wants that.
+func (c *conn) attribute(res *http.Response, r Request) error {
+	if r.Identified != nil {
+		identified := r.Identified(res.Header)
+		if !identified && c.identified {
+			return eris.New("response does not say to which request it belongs")
+		}
+		c.identified = c.identified || identified
+	}
+	res.Close = res.Close || r.CloseAfter != nil && r.CloseAfter(res.StatusCode, res.Header)
+	return nil
+}
+
 // responseBody returns the connection to the pool once the response is
 // complete.
 type responseBody struct {
