gateway: hold requests while the daemon starts

Change: a daemon that does not know the configuration yet holds a request for a sixteenth of its client's time, 1.6 s of a stream's 25 s and 0.1 s of an order's 1.5 s, and refuses it then as before. A stopping daemon holds none. The body is not read meanwhile.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -171,6 +171,8 @@
 	onView      func(*View)
 	// confirmedAt is when the store last confirmed the content.
 	confirmedAt atomic.Pointer[time.Time]
+	// ready is closed once a view is ready.
+	ready chan struct{}
 	// loaded says that the directory has been read once.
 	loaded atomic.Bool
 	// registered says that the store has this daemon's registration, by this process or
@@ -206,7 +208,7 @@
 // NewFollower returns a follower whose view is empty until Run has read the
 // store.
 func NewFollower(o Options) *Follower {
-	f := &Follower{options: o}
+	f := &Follower{options: o, ready: make(chan struct{})}
 	f.currentView.Store(&View{Daemons: 1})
 	f.confirmedAt.Store(&time.Time{})
 	f.content.Store(&Content{Changed: make(chan struct{})})
@@ -216,6 +218,9 @@
 // View returns the newest view.
 func (f *Follower) View() *View { return f.currentView.Load() }
 
+// Ready returns a channel that is closed once a view is ready.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
 // Content returns the content that other daemons may fetch.
 func (f *Follower) Content() *Content { return f.content.Load() }
 
@@ -367,7 +372,11 @@
 func (f *Follower) publish(s *state) {
 	confirmed := s.confirmedAt
 	if v, changed := s.view(confirmed); changed {
+		wasReady := f.View().Ready
 		f.currentView.Store(v)
+		if v.Ready && !wasReady {
+			close(f.ready)
+		}
 		if f.onView != nil {
 			f.onView(v)
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -63,6 +63,10 @@
 	call := g.o.Protocol.DecodeRequest(hr)
 	plan := g.drainPlan.Load()
 	view := g.o.Directory.View()
+	if !view.Ready && plan == nil {
+		g.awaitReady(hr.Context(), startHold(call.Timeout))
+		view = g.o.Directory.View()
+	}
 	r, refusal := g.admit(view, &call, arrived)
 	if refusal == nil && plan != nil {
 		refusal = r.admitWhileDraining(plan, arrived)
@@ -97,6 +101,29 @@
 	g.serveBuffered(ctx, w, r)
 }
 
+// startHoldShare is the part of a client's timeout for which a daemon that has just
+// started holds a request until it knows the configuration. After the loss of all
+// daemons that takes about a second, and a client that is refused by two starting
+// daemons does not come again. Clients whose time is short are told to come back.
+const startHoldShare = 1.0 / 16
+
+// startHold returns how long a request of a client with the given timeout is held.
+func startHold(clientTimeout time.Duration) time.Duration {
+	return time.Duration(startHoldShare * float64(clientTimeout))
+}
+
+// awaitReady waits until the configuration and the upstreams are known, at most for
+// the given time.
+func (g *Gateway) awaitReady(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-g.o.Directory.Ready():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit finds the route, the account and the service of a request and sets its
 // deadline. The returned request is nil if there is no configuration or no
 // matching route.
