--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -36,6 +36,13 @@
 		ginkgo.Entry("neither", time.Duration(0), time.Duration(0), defaultTimeout),
 	)
 
+	// Guards against clients that wait for a daemon that never becomes ready.
+	ginkgo.It("is held at a starting daemon for a small part of its client's time", func() {
+		Expect(startHold(1600 * time.Millisecond)).To(Equal(100 * time.Millisecond))
+		Expect(startHold(0)).To(BeZero())
+		Expect(startHold(time.Hour)).To(Equal(2 * time.Second))
+	})
+
 	// Guards against a stop that cuts requests, and against streams that are
 	// admitted although the stop will cut them.
 	ginkgo.It("ends before the daemon stops, or is refused as not run", func() {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -107,9 +107,12 @@
 // daemons does not come again. Clients whose time is short are told to come back.
 const startHoldShare = 1.0 / 16
 
+// maxStartHold bounds it for clients that wait for minutes.
+const maxStartHold = 2 * time.Second
+
 // startHold returns how long a request of a client with the given timeout is held.
 func startHold(clientTimeout time.Duration) time.Duration {
-	return time.Duration(startHoldShare * float64(clientTimeout))
+	return min(time.Duration(startHoldShare*float64(clientTimeout)), maxStartHold)
 }
 
 // awaitReady waits until the configuration and the upstreams are known, at most for
