sources: ask other daemons while waiting for the store

The delay of up to 4 s before a daemon of a large data centre calls a store that failed was waited out in one piece, in which it asked nobody: after an outage its content could be 6 s older than the store's, longer than the bound on a configuration (4 s on the large deployment, 3 s on the grown ones). The delay is waited in steps of a second now, with a question to other daemons after each.

--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -534,7 +534,9 @@
 // to it.
 func (c *Cutover) mayComplete(now time.Time) bool {
 	sum := c.sum(now)
-	return sum.examine().done() && sum.suspectRoute() == "" && !sum.seemsWorse() && !sum.answersOverdue() && sum.rehearsed(c.decisionTime()-time.Duration(rehearsalFraction*float64(c.order.TimeLimit)))
+	rehearsal := c.decisionTime() - time.Duration(rehearsalFraction*float64(c.order.TimeLimit))
+	return sum.examine().done() && sum.rehearsed(rehearsal) &&
+		sum.suspectRoute() == "" && !sum.seemsWorse() && !sum.answersOverdue()
 }
 
 // WriteFailed notes that a write failed. evidence tells whether it held evidence,
--- a/sources/sources.go
+++ b/sources/sources.go
@@ -48,9 +48,11 @@
 	minStoreRetryDelay = 100 * time.Millisecond
 	maxStoreRetryDelay = 1 * time.Second
 	// firstProbers daemons of a data centre find out within maxStoreRetryDelay that the
-	// store answers again. The others learn it from them, and call it themselves only
-	// after minFollowerRetryDelay, and less and less up to maxFollowerRetryDelay.
+	// store answers again. The others ask other daemons once in askInterval, and call the
+	// store themselves only after minFollowerRetryDelay, and less and less up to
+	// maxFollowerRetryDelay.
 	firstProbers          = 3
+	askInterval           = 1 * time.Second
 	minFollowerRetryDelay = 1 * time.Second
 	maxFollowerRetryDelay = 4 * time.Second
 )
@@ -106,8 +108,10 @@
 	// candidates are the daemons that may be followed, the preferred one first.
 	candidates []Peer
 	peerStates map[string]*peerState
-	// storeFailures counts consecutive failures of the store.
+	// storeFailures counts consecutive failures of the store; storeDelay is the rest of
+	// the delay before the next call.
 	storeFailures int
+	storeDelay    time.Duration
 	// peerFailures counts consecutive failures of followed daemons.
 	peerFailures int
 	peersAsked   bool
@@ -200,23 +204,31 @@
 			return Source{Kind: Follow, Peer: p}
 		}
 	}
-	s := Source{Kind: Store, Probe: c.storeFailures > 0}
-	if c.storeFailures > 0 {
-		first, limit := minStoreRetryDelay, maxStoreRetryDelay
-		if loaded && len(c.candidates) >= firstProbers {
-			first, limit = minFollowerRetryDelay, maxFollowerRetryDelay
-		}
-		s.Delay = min(first<<min(c.storeFailures-1, 6), limit)
+	if loaded && c.storeDelay > askInterval {
+		c.storeDelay -= askInterval
+		return Source{Kind: AskPeers, Delay: askInterval}
 	}
-	return s
+	return Source{Kind: Store, Probe: c.storeFailures > 0, Delay: min(c.storeDelay, askInterval)}
+}
+
+// retryDelay returns the delay before the next call to a store that failed.
+func (c *Chooser) retryDelay() time.Duration {
+	first, limit := minStoreRetryDelay, maxStoreRetryDelay
+	if len(c.candidates) >= firstProbers {
+		first, limit = minFollowerRetryDelay, maxFollowerRetryDelay
+	}
+	return min(first<<min(c.storeFailures-1, 6), limit)
 }
 
 // StoreAnswered records an answer of the store.
-func (c *Chooser) StoreAnswered() { c.storeFailures, c.peerFailures, c.peersAsked = 0, 0, false }
+func (c *Chooser) StoreAnswered() {
+	c.storeFailures, c.storeDelay, c.peerFailures, c.peersAsked = 0, 0, 0, false
+}
 
 // StoreFailed records that the store did not answer or refused the call.
 func (c *Chooser) StoreFailed() {
 	c.storeFailures++
+	c.storeDelay = c.retryDelay()
 	c.peerFailures = 0
 	c.peersAsked = false
 }
@@ -233,7 +245,7 @@
 		r.skipUntil = now.Add(stalePeerDelay)
 		return
 	}
-	c.storeFailures, c.peersAsked = 0, false
+	c.storeFailures, c.storeDelay, c.peersAsked = 0, 0, false
 }
 
 // PeerFailed records that the followed daemon did not answer.
--- a/sources/sources_test.go
+++ b/sources/sources_test.go
@@ -232,12 +232,18 @@
 			for at := time.Duration(0); at < 14*time.Second; {
 				c.StoreFailed()
 				Expect(c.Next(now, true).Kind).To(Equal(sources.AskPeers))
-				s := c.Next(now, true)
-				for s.Kind == sources.Follow {
-					c.PeerAnswered(s.Peer.Name, false, now)
-					s = c.Next(now, true)
+				// A daemon that waits for the store asks the others meanwhile: content must
+				// not become older than the operators' bounds after the outage.
+				for s := c.Next(now, true); ; s = c.Next(now, true) {
+					Expect(s.Delay).To(BeNumerically("<=", time.Second))
+					at += s.Delay
+					if s.Kind == sources.Store {
+						break
+					}
+					if s.Kind == sources.Follow {
+						c.PeerAnswered(s.Peer.Name, false, now)
+					}
 				}
-				at += s.Delay
 				calls++
 			}
 		}
