--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -105,7 +105,7 @@
 // started holds a request until it knows the configuration. After the loss of all
 // daemons that takes about a second, and a client that is refused by two starting
 // daemons does not come again. Clients whose time is short are told to come back.
-const startHoldShare = 1.0 / 16
+const startHoldShare = 1.0 / 12
 
 // maxStartHold bounds it for clients that wait for minutes.
 const maxStartHold = 2 * time.Second
