--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -127,11 +127,11 @@
 func (g *Gateway) available(in registry.Instance, now time.Time) bool {
 	lost := false
 	g.withTracker(func(b *placement.Tracker) { lost = b.FailedOrReplaced(in.ID, now) })
-	return !lost && !g.noticed(in, now) && g.registered(in)
+	return !lost && !g.withdrawn(in, now) && g.registered(in)
 }
 
-// noticed reports whether an upstream gets no work by its own word.
-func (g *Gateway) noticed(in registry.Instance, now time.Time) bool {
+// withdrawn reports whether an upstream gets no work at its own request.
+func (g *Gateway) withdrawn(in registry.Instance, now time.Time) bool {
 	reason := placement.NoNotice
 	g.withTracker(func(b *placement.Tracker) { reason, _ = b.Notice(in, now) })
 	return reason != placement.NoNotice
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -127,7 +127,7 @@
 	})
 	if err == nil {
 		resp.Body.Close()
-		if g.checkInstance(in, resp.Header) == nil {
+		if g.answeredBy(in, resp.Header) {
 			g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), r.ID)
 		}
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,7 +138,7 @@
 		candidates = slices.DeleteFunc(slices.Clone(candidates), func(in registry.Instance) bool { return excluded[in.ID] })
 	}
 	now := time.Now()
-	g.countNoticed(candidates, now)
+	g.countWithdrawn(candidates, now)
 	return g.tracker.Rank(candidates, r.remoteBias(), now)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,7 +60,7 @@
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_stream_moves_total{step="` + step + `"}`).Inc()
 }
 
-// countLeftOut counts the upstreams that a choice left out by their own word.
+// countLeftOut counts the upstreams that a choice left out at their own request.
 func countLeftOut(reason placement.NoticeReason) {
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Inc()
 }
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
@@ -15,7 +13,7 @@
 // for a pause. It is no failure of the upstream.
 var errPauseAsked = errors.New("upstream asked for a pause")
 
-// The codes of refusals while all upstreams of a service get no work by their own word.
+// The codes of refusals while all upstreams of a service get no work at their own request.
 const (
 	codePaused  = "upstreams_paused"
 	codeLeaving = "upstreams_leaving"
@@ -77,21 +75,21 @@
 	return errors.Join(errPauseAsked, cause)
 }
 
-// allNoticed reports whether all upstreams that may serve a request get no work by
-// their own word, and when the first of them takes work again; the zero time if all of
+// allWithdrawn reports whether all upstreams that may serve a request get no work by
+// their own request, and when the first of them takes work again; the zero time if all of
 // them leave.
-func (g *Gateway) allNoticed(r *request, now time.Time) (soonest time.Time, all bool) {
+func (g *Gateway) allWithdrawn(r *request, now time.Time) (soonest time.Time, all bool) {
 	upstreams := g.o.Directory.View().Upstreams[r.service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.tracker.AllNoticed(g.adopted.Apply(g.ofVersion(r, upstreams)), now)
+	return g.tracker.AllWithdrawn(g.adopted.Apply(g.ofVersion(r, upstreams)), now)
 }
 
-// refuseNoticed returns the code of the refusal of a request that no upstream takes by
-// its own word before giveUpAt, and the time after which one does; the code is empty
+// refuseIfAllWithdrawn returns the code of the refusal of a request that no upstream takes
+// before giveUpAt at its own request, and the time after which one does; the code is empty
 // if the request should wait.
-func (g *Gateway) refuseNoticed(r *request, now, giveUpAt time.Time) (code string, retryAfter time.Duration) {
-	soonest, all := g.allNoticed(r, now)
+func (g *Gateway) refuseIfAllWithdrawn(r *request, now, giveUpAt time.Time) (code string, retryAfter time.Duration) {
+	soonest, all := g.allWithdrawn(r, now)
 	switch {
 	case !all:
 		return "", 0
@@ -106,9 +104,9 @@
 	return codePaused, max(soonest.Sub(now), time.Millisecond)
 }
 
-// countNoticed counts the candidates of a choice that are left out by their own word.
+// countWithdrawn counts the candidates of a choice that are left out at their own request.
 // The caller holds g.mu.
-func (g *Gateway) countNoticed(candidates []registry.Instance, now time.Time) {
+func (g *Gateway) countWithdrawn(candidates []registry.Instance, now time.Time) {
 	if !g.tracker.HasNotices() {
 		return
 	}
@@ -119,11 +117,9 @@
 	}
 }
 
-// checkInstance returns an error if another upstream than the expected one answered a
-// control call.
-func (g *Gateway) checkInstance(in registry.Instance, h http.Header) error {
-	if id := g.o.Protocol.InstanceID(h); id != "" && id != in.ID {
-		return eris.Errorf("upstream %s answered in place of %s", id, in.ID)
-	}
-	return nil
+// answeredBy reports whether the answer to a control call may be that of the expected
+// upstream: it names that one, or none.
+func (g *Gateway) answeredBy(in registry.Instance, h http.Header) bool {
+	id := g.o.Protocol.InstanceID(h)
+	return id == "" || id == in.ID
 }
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -79,7 +79,7 @@
 		}
 		if !s.headSent && s.runs == 0 {
 			giveUpAt := s.r.arrivedAt.Add(time.Duration(streamSearchShare * float64(s.r.route.TargetLatency)))
-			if s.stopReason, s.retryAfter = s.g.refuseNoticed(s.r, now.Add(delay), giveUpAt); s.stopReason != "" {
+			if s.stopReason, s.retryAfter = s.g.refuseIfAllWithdrawn(s.r, now.Add(delay), giveUpAt); s.stopReason != "" {
 				return assignment{}, false
 			}
 			if now.Add(delay).After(giveUpAt) {
@@ -186,7 +186,7 @@
 	}
 	// This is checked after the wait, in which the engine may have announced that
 	// it leaves.
-	if !s.g.registered(p.copyTo) || s.g.noticed(p.copyTo, time.Now()) {
+	if !s.g.registered(p.copyTo) || s.g.withdrawn(p.copyTo, time.Now()) {
 		s.g.o.Logger.Info("engine with the copy is leaving or no longer registered", "id", s.r.ID, "copy", p.copyTo.ID)
 		return s.findUpstream(ctx)
 	}
@@ -333,7 +333,7 @@
 		return nil, nil, err
 	}
 	defer resp.Body.Close()
-	if err := g.checkInstance(in, resp.Header); err == nil {
+	if g.answeredBy(in, resp.Header) {
 		g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), "")
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -152,7 +152,7 @@
 			return ranked[0].Instance, true
 		}
 		if t.runs == 0 {
-			if t.stopReason, t.retryAfter = t.g.refuseNoticed(t.r, now.Add(t.pause), t.giveUpAt()); t.stopReason != "" {
+			if t.stopReason, t.retryAfter = t.g.refuseIfAllWithdrawn(t.r, now.Add(t.pause), t.giveUpAt()); t.stopReason != "" {
 				return registry.Instance{}, false
 			}
 		}
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -35,7 +35,7 @@
 // NoticeReason says why an upstream gets no work.
 type NoticeReason string
 
-// The reasons for which an upstream gets no work by its own word.
+// The reasons for which an upstream gets no work at its own request.
 const (
 	NoNotice      NoticeReason = ""
 	NoticeLeaving NoticeReason = "leaving"
@@ -84,7 +84,7 @@
 	return n.pausedUntil, news
 }
 
-// Notice returns why an upstream gets no work now by its own word, and until when if
+// Notice returns why an upstream gets no work now at its own request, and until when if
 // it is paused.
 func (t *Tracker) Notice(in registry.Instance, now time.Time) (NoticeReason, time.Time) {
 	n := t.noticeOf(in)
@@ -101,9 +101,9 @@
 	return NoNotice, time.Time{}
 }
 
-// AllNoticed reports whether all candidates get no work by their own word: the soonest
+// AllWithdrawn reports whether all candidates get no work at their own request: the soonest
 // end of a pause, or the zero time if all of them leave.
-func (t *Tracker) AllNoticed(candidates []registry.Instance, now time.Time) (soonest time.Time, all bool) {
+func (t *Tracker) AllWithdrawn(candidates []registry.Instance, now time.Time) (soonest time.Time, all bool) {
 	if len(t.notices) == 0 || len(candidates) == 0 {
 		return time.Time{}, false
 	}
--- a/sources/sources.go
+++ b/sources/sources.go
@@ -35,9 +35,8 @@
 	// in two hops.
 	maxFollowers = 8
 	// maxStalePeers is how many daemons that do not see the store are passed over
-	// before this one asks the store itself. When the store turns a third of the daemons
-	// away, the daemon above this one and the one above that are both turned away often
-	// enough for a quarter of the fleet to ask the store.
+	// before this one asks the store itself. The store may turn a third of the daemons away,
+	// and then a few in a row do not see it although most do.
 	maxStalePeers = 5
 	// maxPeerFailures is the number of followed daemons that may fail one after the
 	// other before this one asks the store: each failure takes about a second, and
