registry, directory, relay: count the grace period from the store's return

Cause: a follower started a grace period of its own, for entries that lapse in an outage of the store, when it heard of the first removal after an outage of the daemon that it follows. It ended 2 s after the removal and with the next answer after that, up to 0.8 s later. The same cause on related paths: the reader kept an upstream that the working store had removed just after its return for nearly as long; and a daemon that was turned away alone treated removals as an outage of all, although it heard from others that the store served them.

Ruled out: a lost wake of the long poll, which ends after 0.8 s in any case.

Change: content carries the time since the store's return and its revision then; followers adopt both. Removals of a later revision are kept for 1.2 s at most. Content that the store confirmed to another daemon after this one lost it makes the outage this daemon's own.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -540,6 +540,67 @@
 		Consistently(func() bool { return followers[second].Content().UpToDate() }, "4s", "1ms").Should(BeTrue())
 	})
 
+	// startPair starts two daemons of one data centre and returns the one that reads the
+	// store and the one that follows it.
+	startPair := func() (reader, follower *directory.Follower, readerName string) {
+		first, second := "d1", "d2"
+		if membership.RendezvousWeight("x", "d2") > membership.RendezvousWeight("x", "d1") {
+			first, second = second, first
+		}
+		for _, name := range []string{first, second} {
+			st.put(directory.PeerPrefix+name, `{"address":"`+name+`","data_centre":"x"}`)
+		}
+		reader, follower = start(first), start(second)
+		Eventually(func() int { return reader.View().Daemons + follower.View().Daemons }, "3s").Should(Equal(4))
+		return reader, follower, first
+	}
+
+	// An upstream that is removed shortly after the daemon before this one has reached the
+	// store again got work from the followers for a grace period of their own, longer than
+	// it serves after its removal.
+	It("drops an upstream that is removed shortly after an outage of its source within 2 s", func() {
+		reader, follower, readerName := startPair()
+		for range 3 {
+			st.put("up/b", "tags")
+			Eventually(upstreams(follower), "3s").Should(Equal(2))
+			Eventually(upstreams(reader), "3s").Should(Equal(2))
+			st.setUnavailable(readerName, true)
+			Eventually(func() bool { return reader.Content().UpToDate() }, "3s", "1ms").Should(BeFalse())
+			st.setUnavailable(readerName, false)
+			Eventually(func() bool { return reader.Content().UpToDate() }, "3s", "1ms").Should(BeTrue())
+			// The follower reads the store itself for a while, and follows the reader again.
+			Consistently(upstreams(follower), "1600ms").Should(Equal(2))
+			st.remove("up/b")
+			removed := time.Now()
+			Eventually(upstreams(follower), "4s", "5ms").Should(Equal(1))
+			Eventually(upstreams(reader), "4s", "5ms").Should(Equal(1))
+			Expect(time.Since(removed)).To(BeNumerically("<", 1500*time.Millisecond))
+		}
+	})
+
+	// A daemon that was cut off from the store alone must not take the removals that it
+	// missed for leases that ran out in an outage.
+	It("drops an upstream that was removed while the store served the other daemons", func() {
+		_, follower, readerName := startPair()
+		reader := relay.followers[readerName]
+		st.setUnavailable(readerName, true)
+		Eventually(func() bool { return reader.Content().UpToDate() }, "3s", "1ms").Should(BeFalse())
+		st.put("config", `{"Version": 2}`)
+		Eventually(version(follower), "3s").Should(BeEquivalentTo(2))
+		Eventually(version(reader), "5s").Should(BeEquivalentTo(2))
+		st.remove("up/a")
+		Eventually(upstreams(follower), "3s").Should(Equal(0))
+		Eventually(upstreams(reader), "3s").Should(Equal(0))
+		st.put("up/a", "tags")
+		Eventually(upstreams(reader), "5s").Should(Equal(1))
+		// The reader asks the store again, without success, and then the follower.
+		Consistently(upstreams(reader), "2500ms").Should(Equal(1))
+		st.setUnavailable(readerName, false)
+		Eventually(func() bool { return reader.Content().UpToDate() }, "3s", "1ms").Should(BeTrue())
+		st.remove("up/a")
+		Eventually(upstreams(reader), "600ms", "5ms").Should(Equal(0))
+	})
+
 	// The number of calls to the store must not grow with the number of daemons.
 	It("lets one daemon of a data centre watch the store for all", func() {
 		var all []*directory.Follower
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -52,6 +52,13 @@
 	// counts as out of date: the time of a watch that was held to its end, and of
 	// one hop.
 	maxAge = watchWait + callTimeout + followWait
+	// graceEndMargin is how long after the end of a grace period the store is asked
+	// what is still missing. The clocks of the followers run behind by one hop.
+	graceEndMargin = 50 * time.Millisecond
+	// othersServedFor is how long after the store served another daemon a failed call
+	// counts as an outage of this daemon alone. It spans two calls of a daemon that
+	// asks the store again.
+	othersServedFor = 2 * (callTimeout + time.Second)
 	// tickInterval is how often the state is checked for lapsed registrations.
 	tickInterval = 250 * time.Millisecond
 	// peerLease is the lease of a daemon's registration, which is written again
@@ -103,6 +110,11 @@
 	UpToDate bool
 	// NearOutage says that entries may be missing because of an outage.
 	NearOutage bool
+	// SinceRecovery is the time since the store became available to the daemon again;
+	// 0 during the outage. RecoveryRevision is the store's revision at that time; 0 is
+	// unknown. Both are set with NearOutage.
+	SinceRecovery    time.Duration
+	RecoveryRevision uint64
 }
 
 // Options configure a Follower.
@@ -125,6 +137,10 @@
 	Revision      uint64
 	nearOutage    bool
 	sourceWorking bool
+	// recoveredAt and recoveryRevision say when the store became available again after
+	// an outage; they are zero during it.
+	recoveredAt      time.Time
+	recoveryRevision uint64
 	// confirmedAt is shared by all contents of a follower, because it changes with
 	// each answer of the source.
 	confirmedAt *atomic.Pointer[time.Time]
@@ -145,11 +161,23 @@
 // the content lately.
 func (c *Content) UpToDate() bool { return c.sourceWorking && c.Age() < maxAge }
 
+// SinceRecovery returns the time since the store became available again after an
+// outage; 0 during the outage and without one.
+func (c *Content) SinceRecovery() time.Duration {
+	if c.recoveredAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.recoveredAt)
+}
+
 // Since returns what is newer than a revision: the changes, or a snapshot if the
 // changes are not kept that far back.
 func (c *Content) Since(after uint64) Update {
 	age := c.Age()
 	u := Update{Revision: c.Revision, Age: age, UpToDate: c.UpToDate(), NearOutage: c.nearOutage}
+	if c.nearOutage && !c.recoveredAt.IsZero() {
+		u.SinceRecovery, u.RecoveryRevision = c.SinceRecovery(), c.recoveryRevision
+	}
 	if after < c.recentFrom {
 		u.Snapshot, u.Entries = true, c.entries
 		return u
@@ -284,7 +312,7 @@
 	// Lapsed entries are dropped as soon as the store confirms at the end of their
 	// grace period that they are missing.
 	if end := s.registry.GraceEnd(); s.confirmedAt.Before(end) {
-		q.wait = min(q.wait, max(end.Sub(now), probeWait))
+		q.wait = min(q.wait, max(end.Add(graceEndMargin).Sub(now), probeWait))
 	}
 	if q.source.Kind == sources.AskPeers {
 		q.peers = f.otherAddresses(s)
@@ -331,15 +359,16 @@
 			f.options.Logger.Warn("store lost", "revision", s.revision, "cause", o.err)
 		}
 		c.StoreFailed()
-		s.registry.StoreUnavailable()
-		s.storeReachable, s.sourceWorking = false, false
+		s.storeFailed(now)
 		return
 	}
 	if !s.storeReachable {
 		f.options.Logger.Info("store seen", "revision", o.update.Revision)
 	}
 	c.StoreAnswered()
-	s.registry.StoreAvailable(now)
+	if s.registry.StoreAvailable(now) {
+		s.recoveryRevision = o.update.Revision
+	}
 	s.storeReachable, s.sourceWorking = true, true
 	s.confirmedAt = now.Add(-o.update.Age)
 	f.applyUpdate(s, o.update, now)
@@ -350,11 +379,16 @@
 	if at := now.Add(-u.Age); at.After(s.confirmedAt) && (!s.loaded || u.Revision >= s.revision) {
 		s.confirmedAt = at
 	}
+	if !s.storeReachable {
+		s.noteOthers(u, now)
+	}
 	if s.loaded && u.Revision <= s.revision {
 		return
 	}
 	if u.NearOutage || u.Age >= maxAge {
-		s.registry.RemoteOutage(now)
+		if s.registry.RemoteOutage(now.Add(-u.SinceRecovery)) {
+			s.recoveryRevision = u.RecoveryRevision
+		}
 	} else {
 		s.registry.RemoteConfirmed()
 	}
@@ -389,6 +423,7 @@
 	}
 	next := &Content{
 		recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision, sourceWorking: s.sourceWorking, nearOutage: nearOutage,
+		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision,
 		confirmedAt: &f.confirmedAt, Changed: make(chan struct{}), entries: make([]store.Entry, 0, len(s.entries)),
 	}
 	for _, e := range s.entries {
--- a/directory/state.go
+++ b/directory/state.go
@@ -120,8 +120,14 @@
 	// that the last call to the store succeeded.
 	sourceWorking  bool
 	storeReachable bool
-	registry       *registry.Registry
-	table          *routes.Table
+	// storeLostAt is when the store stopped answering this daemon, and othersServedAt
+	// when it last confirmed content to another daemon after that.
+	storeLostAt, othersServedAt time.Time
+	registry                    *registry.Registry
+	// recoveryRevision is the store's revision when it became available again after
+	// the last outage; 0 is unknown. Later removals were made by a working store.
+	recoveryRevision uint64
+	table            *routes.Table
 	// recent holds the changes after the revision recentFrom, oldest first.
 	recent     []store.Change
 	recentFrom uint64
@@ -163,7 +169,7 @@
 	}
 	for key := range s.entries {
 		if !seen[key] {
-			s.remove(key, now)
+			s.remove(key, false, now)
 		}
 	}
 	s.revision = revision
@@ -182,7 +188,7 @@
 		}
 		s.keepChange(c)
 		if c.Deleted {
-			s.remove(c.Key, now)
+			s.remove(c.Key, s.recoveryRevision != 0 && c.Index > s.recoveryRevision, now)
 		} else {
 			s.put(c.Entry, now)
 		}
@@ -339,7 +345,9 @@
 	}
 }
 
-func (s *state) remove(key string, now time.Time) {
+// remove removes an entry. afterOutage says that the store was available again after
+// the last outage when it removed the entry.
+func (s *state) remove(key string, afterOutage bool, now time.Time) {
 	e, known := s.entries[key]
 	if !known {
 		return
@@ -362,15 +370,53 @@
 	}
 	s.removeCutover(e)
 	if in, ok, _ := s.decoder.Instance(e); ok {
-		s.registry.Remove(in.ID, now)
-		s.log.Info("upstream removed", "upstream", in.ID, "service", in.Service)
+		if afterOutage {
+			s.registry.RemoveAfterOutage(in.ID, now)
+		} else {
+			s.registry.Remove(in.ID, now)
+		}
+		s.log.Info("upstream removed", "upstream", in.ID, "service", in.Service,
+			"near_outage", s.registry.NearOutage(now), "after_outage", afterOutage)
+	}
+}
+
+// storeFailed records that a call to the store failed. While the store serves other
+// daemons, the outage is this daemon's own: upstreams renew their registrations, and
+// those that vanish are gone.
+func (s *state) storeFailed(now time.Time) {
+	s.storeReachable, s.sourceWorking = false, false
+	if s.othersServedAt.After(s.storeLostAt) && now.Sub(s.othersServedAt) < othersServedFor {
+		return
+	}
+	if !s.registry.StoreDown() {
+		s.storeLostAt = now
+	}
+	s.registry.StoreUnavailable()
+}
+
+// noteOthers records whether the store serves other daemons while it does not answer
+// this one. Content that was confirmed before this daemon lost the store shows
+// nothing.
+func (s *state) noteOthers(u Update, now time.Time) {
+	at := now.Add(-u.Age)
+	switch {
+	case !u.UpToDate || u.NearOutage:
+		s.othersServedAt = time.Time{}
+	case at.After(s.storeLostAt):
+		if s.registry.StoreDown() {
+			s.log.Info("store serves other daemons; entries missing there are gone", "revision", u.Revision, "age", u.Age)
+		}
+		s.othersServedAt = at
+		s.registry.RemoteConfirmed()
 	}
 }
 
 // view returns a new view if anything changed since the last call; confirmed is
 // when the store last confirmed the content.
 func (s *state) view(confirmed time.Time) (*View, bool) {
-	s.registry.ExpireLapsed(confirmed)
+	if dropped := s.registry.ExpireLapsed(confirmed); len(dropped) > 0 {
+		s.log.Info("removed upstreams are used no longer", "upstreams", dropped, "revision", s.revision)
+	}
 	if !s.registry.TakeChanged() && !s.dirty {
 		return nil, false
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -12,6 +12,13 @@
 // within about two seconds, and that one which is still missing then is gone.
 const ReregisterGrace = 2 * time.Second
 
+// removalGrace is how long an upstream is used whose entry was removed after the
+// store had become available again: its lease may have run out before it could
+// renew it, which live upstreams do about every 1.2 seconds. It leaves the rest of
+// the 2 seconds in which a removed upstream still serves for the removal to take
+// effect.
+const removalGrace = 1200 * time.Millisecond
+
 // Instance is one run of an upstream's process.
 type Instance struct {
 	ID         string
@@ -33,6 +40,9 @@
 	// lapsed is set for an entry that vanished during an outage of the store or
 	// shortly after it.
 	lapsed bool
+	// usedUntil is the end of removalGrace; it is zero for an entry that vanished
+	// during the outage, which is used until the end of the grace period.
+	usedUntil time.Time
 }
 
 // Registry holds the registered upstreams. It is not safe for concurrent use.
@@ -53,22 +63,27 @@
 func (r *Registry) StoreUnavailable() { r.storeDown = true }
 
 // StoreAvailable records that the store answers. After an outage it starts the
-// grace period.
-func (r *Registry) StoreAvailable(now time.Time) {
-	if r.storeDown {
-		r.storeDown = false
-		r.recoveredAt = now
+// grace period and returns true.
+func (r *Registry) StoreAvailable(now time.Time) bool {
+	if !r.storeDown {
+		return false
 	}
+	r.storeDown = false
+	r.recoveredAt = now
+	return true
 }
 
 // RemoteOutage records that content comes from a daemon whose entries may be
-// incomplete because of an outage. It starts the grace period; one that has
-// begun is not prolonged.
-func (r *Registry) RemoteOutage(now time.Time) {
-	if r.storeDown || !r.NearOutage(now) {
-		r.storeDown = false
-		r.recoveredAt = now
+// incomplete because of an outage, and that the store became available again for
+// that daemon at recoveredAt. The grace period counts from then; one that has begun
+// is not prolonged. RemoteOutage reports whether it set the grace period.
+func (r *Registry) RemoteOutage(recoveredAt time.Time) bool {
+	if !r.storeDown && r.NearOutage(recoveredAt) && !recoveredAt.Before(r.recoveredAt) {
+		return false
 	}
+	r.storeDown = false
+	r.recoveredAt = recoveredAt
+	return true
 }
 
 // RemoteConfirmed records that content comes from a daemon that sees the store,
@@ -104,13 +119,24 @@
 	// A draining upstream has left and gets no new work, so the grace period is of
 	// no use to it.
 	if !e.Draining && r.NearOutage(now) {
-		e.lapsed = true
+		if !e.lapsed {
+			e.lapsed, e.usedUntil = true, time.Time{}
+		}
 		return
 	}
 	delete(r.entries, id)
 	r.changed = true
 }
 
+// RemoveAfterOutage records that an entry was removed at a time when the store was
+// available again. During the grace period it is kept as lapsed for removalGrace.
+func (r *Registry) RemoveAfterOutage(id string, now time.Time) {
+	r.Remove(id, now)
+	if e := r.entries[id]; e != nil && e.lapsed && e.usedUntil.IsZero() {
+		e.usedUntil = now.Add(removalGrace)
+	}
+}
+
 // Replace sets the whole content of the store.
 func (r *Registry) Replace(all []Instance, now time.Time) {
 	present := make(map[string]bool, len(all))
@@ -128,17 +154,22 @@
 // ExpireLapsed drops lapsed entries whose upstreams did not register again;
 // confirmed is when the store last confirmed the content. The entries stay while
 // the store is unavailable, because no upstream can register, and while it is
-// silent, because this daemon cannot learn of registrations.
-func (r *Registry) ExpireLapsed(confirmed time.Time) {
-	if r.NearOutage(confirmed) {
-		return
+// silent, because this daemon cannot learn of registrations. ExpireLapsed returns the
+// IDs of the dropped entries.
+func (r *Registry) ExpireLapsed(confirmed time.Time) []string {
+	if r.storeDown {
+		return nil
 	}
+	var dropped []string
+	graceOver := !r.NearOutage(confirmed)
 	for id, e := range r.entries {
-		if e.lapsed {
+		if e.lapsed && (graceOver || !e.usedUntil.IsZero() && !confirmed.Before(e.usedUntil)) {
 			delete(r.entries, id)
 			r.changed = true
+			dropped = append(dropped, id)
 		}
 	}
+	return dropped
 }
 
 // TakeChanged reports whether the result of Instances changed since the last
@@ -166,12 +197,30 @@
 	return r.storeDown || !r.recoveredAt.IsZero() && at.Sub(r.recoveredAt) < ReregisterGrace
 }
 
-// GraceEnd returns the time from which lapsed entries are dropped if the store
-// confirms that they are missing. It is zero while the store is unavailable and
-// when no outage is known.
+// GraceEnd returns the time from which the next lapsed entries are dropped if the
+// store confirms that they are missing. It is zero while the store is unavailable
+// and when no outage is known.
 func (r *Registry) GraceEnd() time.Time {
 	if r.storeDown || r.recoveredAt.IsZero() {
 		return time.Time{}
 	}
-	return r.recoveredAt.Add(ReregisterGrace)
+	end := r.recoveredAt.Add(ReregisterGrace)
+	for _, e := range r.entries {
+		if e.lapsed && !e.usedUntil.IsZero() && e.usedUntil.Before(end) {
+			end = e.usedUntil
+		}
+	}
+	return end
+}
+
+// StoreDown reports whether the store is unavailable.
+func (r *Registry) StoreDown() bool { return r.storeDown }
+
+// RecoveredAt returns when the store became available again after the last outage.
+// It is zero while the store is unavailable and when no outage is known.
+func (r *Registry) RecoveredAt() time.Time {
+	if r.storeDown {
+		return time.Time{}
+	}
+	return r.recoveredAt
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -73,6 +73,53 @@
 		Expect(ids(r)).To(Equal([]string{"b"}))
 	})
 
+	// A removal by a store that works again is a lease that has just run out, or an upstream
+	// that has left and serves for 2 s at least. One that was learned in the outage is kept
+	// to the end of the grace period.
+	It("keeps an upstream that was removed after the outage for less than 2 s", func() {
+		r.StoreUnavailable()
+		r.StoreAvailable(now)
+		removed := now.Add(100 * time.Millisecond)
+		r.Remove("b", now)
+		r.RemoveAfterOutage("a", removed)
+		Expect(r.GraceEnd()).To(BeTemporally("<", removed.Add(1500*time.Millisecond)))
+		r.ExpireLapsed(r.GraceEnd().Add(-time.Millisecond))
+		Expect(ids(r)).To(Equal([]string{"a", "b"}))
+		r.ExpireLapsed(r.GraceEnd())
+		Expect(ids(r)).To(Equal([]string{"b"}))
+		Expect(r.GraceEnd()).To(Equal(now.Add(registry.ReregisterGrace)))
+		r.ExpireLapsed(r.GraceEnd())
+		Expect(ids(r)).To(BeEmpty())
+	})
+
+	It("keeps entries that were removed after the outage while the store is away again", func() {
+		r.StoreUnavailable()
+		r.StoreAvailable(now)
+		r.RemoveAfterOutage("a", now.Add(time.Millisecond))
+		r.StoreUnavailable()
+		r.ExpireLapsed(now.Add(time.Minute))
+		Expect(ids(r)).To(Equal([]string{"a", "b"}))
+	})
+
+	// The grace period of a daemon that follows another one counted from its first change,
+	// up to 2 s later than that of the other daemon.
+	It("counts the grace period of relayed content from the return of the store", func() {
+		Expect(r.RemoteOutage(now.Add(-1500 * time.Millisecond))).To(BeTrue())
+		r.Remove("a", now)
+		r.ExpireLapsed(now.Add(499 * time.Millisecond))
+		Expect(ids(r)).To(Equal([]string{"a", "b"}))
+		r.ExpireLapsed(now.Add(500 * time.Millisecond))
+		Expect(ids(r)).To(Equal([]string{"b"}))
+	})
+
+	It("shortens its grace period when the store returned to another daemon before", func() {
+		r.StoreUnavailable()
+		r.StoreAvailable(now)
+		Expect(r.RemoteOutage(now.Add(-time.Second))).To(BeTrue())
+		Expect(r.RemoteOutage(now)).To(BeFalse())
+		Expect(r.RecoveredAt()).To(Equal(now.Add(-time.Second)))
+	})
+
 	// Content relayed from another daemon must not start the grace period again with
 	// each change.
 	It("does not prolong the grace period while relayed content keeps reporting an outage", func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,8 +45,9 @@
 // Headers that tell how current the content is. They are not part of the body,
 // which is compressed once and sent to many daemons.
 const (
-	headerAge      = "Directory-Age-Ms"
-	headerUpToDate = "Directory-Settled"
+	headerAge           = "Directory-Age-Ms"
+	headerUpToDate      = "Directory-Settled"
+	headerSinceRecovery = "Directory-Since-Recovery-Ms"
 )
 
 type wireEntry struct {
@@ -57,10 +58,12 @@
 }
 
 type wireUpdate struct {
-	Revision   uint64      `json:"revision"`
-	NearOutage bool        `json:"near_outage"`
-	Snapshot   bool        `json:"whole"`
-	Entries    []wireEntry `json:"entries"`
+	Revision   uint64 `json:"revision"`
+	NearOutage bool   `json:"near_outage"`
+	// RecoveryRevision is missing in the answers of older daemons.
+	RecoveryRevision uint64      `json:"recovery_revision,omitempty"`
+	Snapshot         bool        `json:"whole"`
+	Entries          []wireEntry `json:"entries"`
 }
 
 // Handler serves the content of a follower. A request is held until there is a
@@ -84,6 +87,7 @@
 		w.Header().Set("Content-Encoding", "gzip")
 		w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
 		w.Header().Set(headerUpToDate, strconv.FormatBool(c.UpToDate()))
+		w.Header().Set(headerSinceRecovery, strconv.FormatInt(c.SinceRecovery().Milliseconds(), 10))
 		if _, err := w.Write(compressed); err != nil {
 			log.Info("directory content not delivered", "cause", err)
 		}
@@ -162,7 +166,7 @@
 }
 
 func encode(u directory.Update) wireUpdate {
-	out := wireUpdate{Revision: u.Revision, NearOutage: u.NearOutage, Snapshot: u.Snapshot}
+	out := wireUpdate{Revision: u.Revision, NearOutage: u.NearOutage, RecoveryRevision: u.RecoveryRevision, Snapshot: u.Snapshot}
 	for _, e := range u.Entries {
 		out.Entries = append(out.Entries, wireEntry{Key: e.Key, Value: e.Value, Index: e.Index})
 	}
@@ -173,7 +177,7 @@
 }
 
 func decode(wire wireUpdate) directory.Update {
-	u := directory.Update{Revision: wire.Revision, NearOutage: wire.NearOutage, Snapshot: wire.Snapshot}
+	u := directory.Update{Revision: wire.Revision, NearOutage: wire.NearOutage, RecoveryRevision: wire.RecoveryRevision, Snapshot: wire.Snapshot}
 	for _, e := range wire.Entries {
 		entry := store.Entry{Key: e.Key, Value: e.Value, Index: e.Index}
 		if wire.Snapshot {
@@ -238,6 +242,14 @@
 		return directory.Update{}, eris.Wrap(err, "read the age of the daemon's answer")
 	}
 	u.Age, u.UpToDate = time.Duration(age)*time.Millisecond, res.Header.Get(headerUpToDate) == "true"
+	// A daemon of an older build does not send it: its outage counts from now on.
+	if text := res.Header.Get(headerSinceRecovery); u.NearOutage && text != "" {
+		since, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || since < 0 {
+			return directory.Update{}, eris.Errorf("time since the store's recovery %q is not a number of milliseconds", text)
+		}
+		u.SinceRecovery = time.Duration(since) * time.Millisecond
+	}
 	return u, nil
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +193,60 @@
 		t.Errorf("update after revision %d has revision %d, snapshot %v, error %v", last.Revision, next.Revision, next.Snapshot, err)
 	}
 }
+
+// turnedAwayStore refuses its second call.
+type turnedAwayStore struct {
+	fixedStore
+	calls atomic.Int32
+}
+
+func (s *turnedAwayStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
+	switch s.calls.Add(1) {
+	case 1:
+		return nil, 0, store.ErrUnavailable
+	case 2:
+		return nil, after, nil
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A follower counts the grace period after an outage from the time at which the store
+// was available to the daemon that it follows.
+func TestFollowersLearnWhenTheStoreReturned(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := startFollower(t, &turnedAwayStore{})
+	srv := httptest.NewServer(relay.Handler(f.Content, log))
+	defer srv.Close()
+	c := relay.NewClient(log)
+	var u directory.Update
+	for deadline := time.Now().Add(5 * time.Second); u.SinceRecovery == 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("the last update is %+v", u)
+		}
+		var err error
+		if u, err = c.Fetch(context.Background(), strings.TrimPrefix(srv.URL, "http://"), upstreams, 0, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	if !u.NearOutage || u.RecoveryRevision != upstreams || u.SinceRecovery > 5*time.Second {
+		t.Errorf("update after the outage: %+v", u)
+	}
+}
+
+func TestTimeSinceTheRecoveryIsChecked(t *testing.T) {
+	for _, text := range []string{"-5", "soon", "1e3"} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Directory-Age-Ms", "5")
+			w.Header().Set("Directory-Settled", "true")
+			w.Header().Set("Directory-Since-Recovery-Ms", text)
+			fmt.Fprint(w, `{"revision":7,"whole":true,"near_outage":true}`)
+		}))
+		c := relay.NewClient(slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if _, err := c.Fetch(context.Background(), strings.TrimPrefix(srv.URL, "http://"), 1, 0, time.Second); err == nil {
+			t.Errorf("a daemon that says %q was believed", text)
+		}
+		srv.Close()
+	}
+}
