directory, relay, sources: notice a silent source within the bound on stale content

Cause: the daemon that reads the store for its data centre waited up to 0.3 s between watches, 1.5 s in a watch and 0.7 s more for an answer before it gave up a connection that had gone silent, 2.2 to 2.5 s in all; only then did its followers read the store. The times were chosen each for itself, and content counted as up to date for 3 s. Related: a follower spent 1.15 s on each of two daemons that did not answer.

Ruled out: the pause of followers between polls, which is not there, and the time to read the store, 5 ms.

Change: one bound, MaxStaleness (config-ms of the settings file), divides into the interval of confirmations, which includes pauses, the time for a late answer, and a rest in which followers read the store themselves. Long polls end with each confirmation and when content gets out of date. A daemon that got no answer and whose content is older than 0.6 s asks the store.

The relay stand-in of the tests now uses the product's Await in place of a copy of its loop.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -42,9 +43,11 @@
 	changes     []store.Change
 	changed     chan struct{}
 	unavailable map[string]bool
-	// silent makes watches wait until their context ends.
-	silent bool
-	calls  int
+	// silent makes watches wait until their context ends, and silentTo those of some
+	// clients.
+	silent   bool
+	silentTo map[string]bool
+	calls    int
 	// writes counts the grants of leases and the leased writes.
 	writes int
 	// staleBy is how many of the last changes a page that may be stale lacks.
@@ -54,7 +57,7 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{revision: 10, entries: map[string]store.Entry{}, changed: make(chan struct{}), unavailable: map[string]bool{}}
+	return &memoryStore{revision: 10, entries: map[string]store.Entry{}, changed: make(chan struct{}), unavailable: map[string]bool{}, silentTo: map[string]bool{}}
 }
 
 func (m *memoryStore) put(key, value string) {
@@ -88,6 +91,16 @@
 	m.changed = make(chan struct{})
 }
 
+// setSilentTo sets whether the store answers no watch of a client, nor those that
+// have begun.
+func (m *memoryStore) setSilentTo(name string, silent bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silentTo[name] = silent
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 func (m *memoryStore) compact() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -157,7 +170,7 @@
 	c.mu.Lock()
 	c.calls++
 	for {
-		if c.silent {
+		if c.silent || c.silentTo[c.name] {
 			c.mu.Unlock()
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
@@ -254,30 +267,27 @@
 	mu          sync.Mutex
 	followers   map[string]*directory.Follower
 	unreachable map[string]bool
+	// silent daemons do not answer.
+	silent map[string]bool
 }
 
-func (m *memoryRelay) Fetch(ctx context.Context, address string, after uint64, wait, _ time.Duration) (directory.Update, error) {
+func (m *memoryRelay) Fetch(ctx context.Context, address string, after uint64, wait, slack time.Duration) (directory.Update, error) {
 	m.mu.Lock()
-	f, cut := m.followers[address], m.unreachable[address]
+	f, cut, silent := m.followers[address], m.unreachable[address], m.silent[address]
 	m.mu.Unlock()
-	if f == nil || cut {
-		return directory.Update{}, errors.New("not reached")
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		c := f.Content()
-		if c.Revision > after || !c.UpToDate() {
-			return c.Since(after), nil
-		}
+	if silent {
 		select {
-		case <-c.Changed:
-		case <-timer.C:
-			return c.Since(after), nil
+		case <-time.After(wait + slack):
+			return directory.Update{}, errors.New("no answer in time")
 		case <-ctx.Done():
 			return directory.Update{}, ctx.Err()
 		}
 	}
+	if f == nil || cut {
+		return directory.Update{}, errors.New("not reached")
+	}
+	c := directory.Await(ctx, f.Content, after, wait)
+	return c.Since(after), ctx.Err()
 }
 
 func (m *memoryRelay) FetchAny(ctx context.Context, addresses []string, after uint64, slack time.Duration) (directory.Update, error) {
@@ -297,7 +307,7 @@
 	var ctx context.Context
 	BeforeEach(func() {
 		st = newMemoryStore()
-		relay = &memoryRelay{followers: map[string]*directory.Follower{}, unreachable: map[string]bool{}}
+		relay = &memoryRelay{followers: map[string]*directory.Follower{}, unreachable: map[string]bool{}, silent: map[string]bool{}}
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
 		DeferCleanup(cancel)
@@ -601,6 +611,50 @@
 		Eventually(upstreams(reader), "600ms", "5ms").Should(Equal(0))
 	})
 
+	// The reader of a data centre is cut off from the store without a sign. Its followers,
+	// which reach the store, handled requests by the old configuration for 2.2 s and more.
+	It("learns a change within 2 s although the connection of its source to the store goes silent", func() {
+		reader, follower, readerName := startPair()
+		for v := range 3 {
+			// The reader has just begun a watch: it waits for the store as long as it ever does.
+			Eventually(func() time.Duration { return reader.Content().Age() }, "4s", "1ms").Should(BeNumerically("<", 20*time.Millisecond))
+			st.setSilentTo(readerName, true)
+			changed := time.Now()
+			st.put("config", fmt.Sprintf(`{"Version": %d}`, v+2))
+			Eventually(version(follower), "4s", "5ms").Should(BeEquivalentTo(v + 2))
+			Expect(time.Since(changed)).To(BeNumerically("<", 2*time.Second))
+			st.setSilentTo(readerName, false)
+			Eventually(version(reader), "4s").Should(BeEquivalentTo(v + 2))
+		}
+	})
+
+	// Each daemon that is asked in vain takes more than a second. Two of them must not use
+	// up the time in which a change has to be in force.
+	It("hears from the store every 2 s although the daemons before it do not answer", func() {
+		names := []string{"d1", "d2", "d3"}
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Compare(membership.RendezvousWeight("x", b), membership.RendezvousWeight("x", a))
+		})
+		for _, name := range names {
+			st.put(directory.PeerPrefix+name, `{"address":"`+name+`","data_centre":"x"}`)
+		}
+		var last *directory.Follower
+		for _, name := range names {
+			last = start(name)
+			Eventually(version(last), "3s").Should(BeEquivalentTo(1))
+		}
+		Consistently(version(last), "2s").Should(BeEquivalentTo(1))
+		relay.mu.Lock()
+		relay.silent[names[0]], relay.silent[names[1]] = true, true
+		relay.mu.Unlock()
+		// They are asked again after some seconds.
+		Consistently(func() time.Duration { return last.Content().Age() }, "8s", "5ms").Should(BeNumerically("<", 2*time.Second))
+		changed := time.Now()
+		st.put("config", `{"Version": 2}`)
+		Eventually(version(last), "4s", "5ms").Should(BeEquivalentTo(2))
+		Expect(time.Since(changed)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	// The number of calls to the store must not grow with the number of daemons.
 	It("lets one daemon of a data centre watch the store for all", func() {
 		var all []*directory.Follower
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without a change. It bounds how
-	// long a connection that went silent hides changes.
-	watchWait = 1500 * time.Millisecond
 	// probeWait is the wait of a call that only finds out whether the store answers.
 	probeWait = time.Millisecond
 	// watchPause is the pause after a watch that returned changes, so that several
@@ -33,13 +30,14 @@
 	watchPause        = 150 * time.Millisecond
 	longWatchPause    = 300 * time.Millisecond
 	unreadyWatchPause = 500 * time.Millisecond
-	// followWait is how long another daemon holds a long poll of this one.
-	followWait = 800 * time.Millisecond
-	// callTimeout is the time that a call may take in addition to the wait that it
-	// asks for. A slow store takes some hundred milliseconds.
-	callTimeout = 700 * time.Millisecond
 	// pageTimeout bounds the reading of one page of the store's content, up to 1 MB.
 	pageTimeout = 2 * time.Second
+	// minFollowWait is the shortest long poll of another daemon, whose own source may be
+	// late.
+	minFollowWait = 200 * time.Millisecond
+	// confirmationDelay is the time that a confirmation of the store takes to a daemon
+	// that follows another one.
+	confirmationDelay = 200 * time.Millisecond
 	// registerTimeout bounds the two calls of a registration.
 	registerTimeout = 2 * time.Second
 	// followTimeout is the time that another daemon may take in addition to its wait
@@ -48,17 +46,13 @@
 	// transferTimeout is the time that the transfer of the rest of the answer may
 	// take on a narrow link.
 	transferTimeout = 2 * time.Second
-	// maxAge is the time since the store's last confirmation after which content
-	// counts as out of date: the time of a watch that was held to its end, and of
-	// one hop.
-	maxAge = watchWait + callTimeout + followWait
 	// graceEndMargin is how long after the end of a grace period the store is asked
 	// what is still missing. The clocks of the followers run behind by one hop.
 	graceEndMargin = 50 * time.Millisecond
 	// othersServedFor is how long after the store served another daemon a failed call
 	// counts as an outage of this daemon alone. It spans two calls of a daemon that
 	// asks the store again.
-	othersServedFor = 2 * (callTimeout + time.Second)
+	othersServedFor = 3400 * time.Millisecond
 	// tickInterval is how often the state is checked for lapsed registrations.
 	tickInterval = 250 * time.Millisecond
 	// peerLease is the lease of a daemon's registration, which is written again
@@ -127,6 +121,9 @@
 	Self sources.Peer
 	// Seeds are relay addresses of daemons to ask before the store has been read.
 	Seeds []string
+	// MaxStaleness is the time within which a change that the store has accepted is in
+	// force; 0 stands for DefaultMaxStaleness.
+	MaxStaleness time.Duration
 }
 
 // Content is the directory content that a daemon offers to others.
@@ -141,9 +138,11 @@
 	// an outage; they are zero during it.
 	recoveredAt      time.Time
 	recoveryRevision uint64
-	// confirmedAt is shared by all contents of a follower, because it changes with
+	// confirmation is shared by all contents of a follower, because it changes with
 	// each answer of the source.
-	confirmedAt *atomic.Pointer[time.Time]
+	confirmation *atomic.Pointer[confirmation]
+	// maxAge is the age from which the content is out of date.
+	maxAge time.Duration
 	// Changed is closed when there is newer content.
 	Changed chan struct{}
 }
@@ -151,15 +150,43 @@
 // Age returns the time since the store confirmed the content, directly or
 // through other daemons.
 func (c *Content) Age() time.Duration {
-	if c.confirmedAt == nil {
-		return maxAge
+	if c.confirmation == nil {
+		return c.maxAge
 	}
-	return time.Since(*c.confirmedAt.Load())
+	return time.Since(c.confirmation.Load().at)
 }
 
 // UpToDate reports whether the daemon's own source works and the store confirmed
 // the content lately.
-func (c *Content) UpToDate() bool { return c.sourceWorking && c.Age() < maxAge }
+func (c *Content) UpToDate() bool { return c.sourceWorking && c.Age() < c.maxAge }
+
+// Await waits until there is news for a daemon that knows a revision, and returns the
+// content then: a newer revision, a confirmation by the store, or content that is out
+// of date. It returns at the latest after wait or when ctx ends.
+func Await(ctx context.Context, content func() *Content, after uint64, wait time.Duration) *Content {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	c := content()
+	if c.confirmation == nil {
+		return c
+	}
+	known := c.confirmation.Load()
+	outOfDate := time.NewTimer(time.Until(known.at.Add(c.maxAge)))
+	defer outOfDate.Stop()
+	for c.Revision <= after && c.UpToDate() && c.confirmation.Load() == known {
+		select {
+		case <-c.Changed:
+		case <-known.renewed:
+		case <-outOfDate.C:
+		case <-timer.C:
+			return c
+		case <-ctx.Done():
+			return c
+		}
+		c = content()
+	}
+	return c
+}
 
 // SinceRecovery returns the time since the store became available again after an
 // outage; 0 during the outage and without one.
@@ -193,12 +220,12 @@
 // Follower keeps a View up to date. View, Content and Lease are safe for
 // concurrent use.
 type Follower struct {
-	options     Options
-	currentView atomic.Pointer[View]
-	content     atomic.Pointer[Content]
-	onView      func(*View)
-	// confirmedAt is when the store last confirmed the content.
-	confirmedAt atomic.Pointer[time.Time]
+	options      Options
+	currentView  atomic.Pointer[View]
+	content      atomic.Pointer[Content]
+	onView       func(*View)
+	timing       timing
+	confirmation atomic.Pointer[confirmation]
 	// ready is closed once a view is ready.
 	ready chan struct{}
 	// loaded says that the directory has been read once.
@@ -236,10 +263,10 @@
 // NewFollower returns a follower whose view is empty until Run has read the
 // store.
 func NewFollower(o Options) *Follower {
-	f := &Follower{options: o, ready: make(chan struct{})}
+	f := &Follower{options: o, timing: newTiming(o.MaxStaleness), ready: make(chan struct{})}
 	f.currentView.Store(&View{Daemons: 1})
-	f.confirmedAt.Store(&time.Time{})
-	f.content.Store(&Content{Changed: make(chan struct{})})
+	f.confirmation.Store(&confirmation{renewed: make(chan struct{})})
+	f.content.Store(&Content{maxAge: f.timing.maxAge, Changed: make(chan struct{})})
 	return f
 }
 
@@ -259,8 +286,9 @@
 	// snapshot asks the store for all entries instead of the changes.
 	snapshot bool
 	peers    []string
-	// wait is how long the store holds the call without a change.
-	wait time.Duration
+	// until is when the store or the followed daemon answers without a change; calls
+	// that begin later are answered at once.
+	until time.Time
 }
 
 // outcome is the result of a query.
@@ -305,14 +333,19 @@
 
 func (f *Follower) nextQuery(s *state, c *sources.Chooser) query {
 	now := time.Now()
-	q := query{source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted, wait: watchWait}
-	if q.source.Probe {
-		q.wait = probeWait
+	c.Confirmed(s.confirmedAt)
+	q := query{source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted, until: s.confirmedAt.Add(f.timing.confirmInterval)}
+	switch {
+	case q.source.Probe:
+		q.until = now
+	case q.source.Kind == sources.Follow:
+		// The followed daemon answers when the store confirms its content.
+		q.until = q.until.Add(confirmationDelay)
 	}
 	// Lapsed entries are dropped as soon as the store confirms at the end of their
 	// grace period that they are missing.
-	if end := s.registry.GraceEnd(); s.confirmedAt.Before(end) {
-		q.wait = min(q.wait, max(end.Add(graceEndMargin).Sub(now), probeWait))
+	if end := s.registry.GraceEnd().Add(graceEndMargin); s.confirmedAt.Before(end) && end.Before(q.until) {
+		q.until = end
 	}
 	if q.source.Kind == sources.AskPeers {
 		q.peers = f.otherAddresses(s)
@@ -385,7 +418,7 @@
 	if s.loaded && u.Revision <= s.revision {
 		return
 	}
-	if u.NearOutage || u.Age >= maxAge {
+	if u.NearOutage || u.Age >= f.timing.maxAge {
 		if s.registry.RemoteOutage(now.Add(-u.SinceRecovery)) {
 			s.recoveryRevision = u.RecoveryRevision
 		}
@@ -418,23 +451,33 @@
 	old := f.content.Load()
 	nearOutage := s.registry.NearOutage(confirmed)
 	if !s.loaded || old.Revision == s.revision && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
-		f.confirmedAt.Store(&confirmed)
+		f.confirm(confirmed)
 		return
 	}
 	next := &Content{
 		recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision, sourceWorking: s.sourceWorking, nearOutage: nearOutage,
 		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision,
-		confirmedAt: &f.confirmedAt, Changed: make(chan struct{}), entries: make([]store.Entry, 0, len(s.entries)),
+		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: make([]store.Entry, 0, len(s.entries)),
 	}
 	for _, e := range s.entries {
 		next.entries = append(next.entries, e)
 	}
 	f.content.Store(next)
 	// Later than the content: the store did not confirm the old one again.
-	f.confirmedAt.Store(&confirmed)
+	f.confirm(confirmed)
 	close(old.Changed)
 }
 
+// confirm publishes when the store last confirmed the content.
+func (f *Follower) confirm(at time.Time) {
+	old := f.confirmation.Load()
+	if old.at.Equal(at) {
+		return
+	}
+	f.confirmation.Store(&confirmation{at: at, renewed: make(chan struct{})})
+	close(old.renewed)
+}
+
 // pauseAfter returns the pause after a call to the store that returned changes;
 // inARow is the number of such calls without one that waited for a change.
 func (f *Follower) pauseAfter(u Update, inARow int) time.Duration {
@@ -493,9 +536,10 @@
 func (f *Follower) runQuery(ctx context.Context, q query, reader *snapshotReader) (Update, error) {
 	switch q.source.Kind {
 	case sources.Follow:
-		callCtx, cancel := context.WithTimeout(ctx, followWait+followTimeout+transferTimeout)
+		wait := max(time.Until(q.until), minFollowWait)
+		callCtx, cancel := context.WithTimeout(ctx, wait+followTimeout+transferTimeout)
 		defer cancel()
-		return f.options.Relay.Fetch(callCtx, q.source.Peer.Address, q.after, followWait, followTimeout)
+		return f.options.Relay.Fetch(callCtx, q.source.Peer.Address, q.after, wait, followTimeout)
 	case sources.AskPeers:
 		if len(q.peers) == 0 {
 			return Update{}, eris.New("no other daemon is known")
@@ -507,9 +551,10 @@
 	if q.snapshot {
 		return f.readSnapshot(ctx, q, reader)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, q.wait+callTimeout)
+	wait := max(time.Until(q.until), probeWait)
+	callCtx, cancel := context.WithTimeout(ctx, wait+f.timing.callTimeout)
 	defer cancel()
-	changes, revision, err := f.options.Store.Watch(callCtx, "", q.after, q.wait)
+	changes, revision, err := f.options.Store.Watch(callCtx, "", q.after, wait)
 	return Update{Changes: changes, Revision: revision}, err
 }
 
@@ -517,7 +562,7 @@
 // snapshot of a daemon may be some seconds old: the daemons that start together all
 // need one, and the next call brings what has changed since.
 func (f *Follower) readSnapshot(ctx context.Context, q query, reader *snapshotReader) (Update, error) {
-	reader.mayBeStale = q.after == 0
+	reader.mayBeStale, reader.staleAge = q.after == 0, f.timing.maxAge
 	for {
 		began := time.Now()
 		page, err := f.readPage(ctx, reader.nextPageAfter(q.after, began), reader.mayBeStale)
--- a/directory/whole.go
+++ b/directory/whole.go
@@ -22,6 +22,8 @@
 	after string
 	// mayBeStale says that the pages may be older than the store's content.
 	mayBeStale bool
+	// staleAge is the age of a snapshot of such pages.
+	staleAge time.Duration
 }
 
 // nextPageAfter returns the key after which the next page begins. Pages that
@@ -29,7 +31,7 @@
 // first.
 func (r *snapshotReader) nextPageAfter(known uint64, now time.Time) string {
 	if now.Sub(r.began) > maxPartialAge || r.revision < known {
-		*r = snapshotReader{mayBeStale: r.mayBeStale}
+		*r = snapshotReader{mayBeStale: r.mayBeStale, staleAge: r.staleAge}
 	}
 	return r.after
 }
@@ -56,7 +58,7 @@
 func (r *snapshotReader) finish(now time.Time) Update {
 	u := Update{Snapshot: true, Entries: r.entries, Revision: r.revision, Age: now.Sub(r.began)}
 	if r.mayBeStale {
-		u.Age = maxAge
+		u.Age = r.staleAge
 	}
 	*r = snapshotReader{}
 	return u
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,7 +102,7 @@
 		Self: sources.Peer{
 			Name: o.Settings.Name, Address: o.Settings.RelayAddress, DataCentre: o.Settings.DataCentre, LinkMbps: o.Settings.LinkMbps,
 		},
-		Seeds: o.Settings.Seeds,
+		Seeds: o.Settings.Seeds, MaxStaleness: o.Settings.MaxStaleness,
 	})
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -32,6 +32,9 @@
 	LinkMbps float64
 	// StopGrace is the time from the request to stop until the process is killed.
 	StopGrace time.Duration
+	// MaxStaleness is the time within which a change that the store has accepted is in
+	// force; 0 stands for directory.DefaultMaxStaleness.
+	MaxStaleness time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the options of the fleet's retry
 	// budget.
 	RetryRatio  float64
@@ -53,7 +56,7 @@
 		return eris.New("settings: the addresses for clients and for readiness checks are required")
 	case s.StoreAddress == "":
 		return eris.New("settings: the store's address is required")
-	case s.StopGrace < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow < 0:
+	case s.StopGrace < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.MaxStaleness < 0:
 		return eris.New("settings: times and ratios cannot be negative")
 	}
 	return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,7 +67,8 @@
 }
 
 // Handler serves the content of a follower. A request is held until there is a
-// change, unless this daemon does not see the store.
+// change or a new confirmation by the store, unless this daemon does not see the
+// store.
 func Handler(content func() *directory.Content, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	cached := &answerCache{}
@@ -82,7 +83,7 @@
 			http.Error(w, "wait is not a duration", http.StatusBadRequest)
 			return
 		}
-		c := waitForChange(r.Context(), content, after, min(wait, maxWait))
+		c := directory.Await(r.Context(), content, after, min(wait, maxWait))
 		compressed, age := cached.get(c, after, time.Now())
 		w.Header().Set("Content-Encoding", "gzip")
 		w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
@@ -147,24 +148,6 @@
 	return b.Bytes()
 }
 
-func waitForChange(ctx context.Context, content func() *directory.Content, after uint64, wait time.Duration) *directory.Content {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		c := content()
-		if c.Revision > after || !c.UpToDate() {
-			return c
-		}
-		select {
-		case <-c.Changed:
-		case <-timer.C:
-			return c
-		case <-ctx.Done():
-			return c
-		}
-	}
-}
-
 func encode(u directory.Update) wireUpdate {
 	out := wireUpdate{Revision: u.Revision, NearOutage: u.NearOutage, RecoveryRevision: u.RecoveryRevision, Snapshot: u.Snapshot}
 	for _, e := range u.Entries {
--- a/sources/sources.go
+++ b/sources/sources.go
@@ -42,6 +42,9 @@
 	// other before this one asks the store: each failure takes about a second, and
 	// the directory must not be out of date for longer than the operators' bounds.
 	maxPeerFailures = 2
+	// maxFollowAge is the age of the content from which a daemon that got no answer from
+	// another one asks the store.
+	maxFollowAge = 600 * time.Millisecond
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay between calls to a
 	// store that does not answer; the platform counts refused calls too.
 	minStoreRetryDelay = 100 * time.Millisecond
@@ -114,6 +117,8 @@
 	// peerFailures counts consecutive failures of followed daemons.
 	peerFailures int
 	peersAsked   bool
+	// confirmedAt is when the store last confirmed the content; zero is unknown.
+	confirmedAt time.Time
 }
 
 // New returns a chooser for the daemon self. No other daemon is known at first.
@@ -187,7 +192,8 @@
 		c.peersAsked = true
 		return Source{Kind: AskPeers}
 	}
-	if loaded && c.peerFailures < maxPeerFailures {
+	old := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > maxFollowAge
+	if loaded && c.peerFailures < maxPeerFailures && !(old && c.peerFailures > 0) {
 		stalePeers := 0
 		for _, p := range c.candidates {
 			if stalePeers >= maxStalePeers {
@@ -219,6 +225,10 @@
 	return min(first<<min(c.storeFailures-1, 6), limit)
 }
 
+// Confirmed records when the store last confirmed the content, to this daemon or to
+// the one that it follows.
+func (c *Chooser) Confirmed(at time.Time) { c.confirmedAt = at }
+
 // StoreAnswered records an answer of the store.
 func (c *Chooser) StoreAnswered() {
 	c.storeFailures, c.storeDelay, c.peerFailures, c.peersAsked = 0, 0, 0, false
--- a/sources/sources_test.go
+++ b/sources/sources_test.go
@@ -140,6 +140,27 @@
 		Expect(choosers["d0"].Next(now, true).Kind).To(BeElementOf(sources.Follow, sources.Store))
 	})
 
+	// Each daemon that does not answer takes more than a second of the time in which a
+	// change has to be in force.
+	It("asks the store after one failure when its content is not fresh", func() {
+		followNext := 0
+		for _, p := range peers[:20] {
+			c := choosers[p.Name]
+			c.Confirmed(now.Add(-time.Second))
+			s := c.Next(now, true)
+			if s.Kind != sources.Follow {
+				continue
+			}
+			c.PeerFailed(s.Peer.Name, now)
+			Expect(c.Next(now, true).Kind).To(Equal(sources.Store))
+			c.Confirmed(now)
+			if c.Next(now, true).Kind == sources.Follow {
+				followNext++
+			}
+		}
+		Expect(followNext).To(Equal(18), "all but the first two daemons have another one to follow")
+	})
+
 	It("reads the store while the directory has not been read", func() {
 		for _, p := range peers {
 			Expect(choosers[p.Name].Next(now, false).Kind).To(Equal(sources.Store))
