drain, gateway: answer the last requests of a stop before connections are cut

What callers saw (report of another operator, and our test): an order that was taken late in a planned stop and ran at a slow upstream ended with a closed connection and no answer.

Cause: a late request got the end of the stop as its deadline, which is the moment at which the server cuts open connections; the cut won. Requests that were already running had no deadline of the stop.

Ruled out: the listener, which refuses new connections a second earlier, and Shutdown's handling of idle connections.

Change: requests other than streams are answered 250 ms before the cut, with 502 or 504 if their outcome is not known. Once the balancer has noticed the stop, a request is taken only if twice the usual time of its route is left.

Test changed: "ends before the daemon stops" expected the moment of the cut as the deadline of a late request; it now expects AnswerBy, and that AnswerBy is before the cut.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -20,6 +20,9 @@
 	closingPeriod = time.Second
 	// killMargin is the last part of the grace, reserved for closing connections.
 	killMargin = 400 * time.Millisecond
+	// answerMargin is the time between the last answer and the deadline, at which open
+	// connections are cut: an answer has to be written and sent.
+	answerMargin = 250 * time.Millisecond
 )
 
 // Plan is the schedule of a stop that has begun.
@@ -29,8 +32,8 @@
 	Grace time.Duration
 }
 
-// Deadline returns the time by which each request must be answered. It is never
-// earlier than StreamAcceptPeriod after Began, even if the grace is shorter.
+// Deadline returns the time at which connections that are still open are cut. It is
+// never earlier than StreamAcceptPeriod after Began, even if the grace is shorter.
 func (p Plan) Deadline() time.Time { return p.Began.Add(max(p.Grace-killMargin, StreamAcceptPeriod)) }
 
 // Accepts reports whether a request that arrives now is served. Stream says that it is
@@ -42,6 +45,17 @@
 	return !stream && now.Before(p.Deadline().Add(-closingPeriod))
 }
 
+// AnswerBy returns the time by which each request other than a stream is answered,
+// if necessary with an error.
+func (p Plan) AnswerBy() time.Time { return p.Deadline().Add(-answerMargin) }
+
+// LeavesTime reports whether a request that needs some time and arrives now can be
+// answered. Until the balancer has noticed the stop, other daemons may not be
+// reachable, and each request is tried.
+func (p Plan) LeavesTime(need time.Duration, now time.Time) bool {
+	return now.Before(p.Began.Add(StreamAcceptPeriod)) || !now.Add(need).After(p.AnswerBy())
+}
+
 // ShouldClose reports whether the listener should be closed now. Without running
 // streams it is closed early, so that the daemon restarts sooner.
 func (p Plan) ShouldClose(streams int, now time.Time) bool {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -52,6 +52,15 @@
 		Expect(plan.ShouldClose(1, plan.Deadline().Add(-time.Second))).To(BeTrue())
 	})
 
+	// Guards against requests whose connection is cut in the moment in which they are
+	// answered at the end of the stop.
+	It("leaves time to send the last answers before connections are cut", func() {
+		Expect(plan.AnswerBy()).To(BeTemporally("<=", plan.Deadline().Add(-200*time.Millisecond)))
+		Expect(plan.LeavesTime(time.Second, plan.AnswerBy().Add(-time.Second))).To(BeTrue())
+		Expect(plan.LeavesTime(time.Second, plan.AnswerBy().Add(-time.Second+time.Millisecond))).To(BeFalse())
+		Expect(plan.LeavesTime(time.Hour, at(2499*time.Millisecond))).To(BeTrue())
+	})
+
 	It("closes the listener early when no stream runs", func() {
 		Expect(plan.ShouldClose(0, at(2499*time.Millisecond))).To(BeFalse())
 		Expect(plan.ShouldClose(0, at(2500*time.Millisecond))).To(BeTrue())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -8,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
@@ -23,6 +26,9 @@
 	started time.Time
 	// drainPlan is nil until the daemon is asked to stop.
 	drainPlan atomic.Pointer[drain.Plan]
+	// stopEnds ends when the requests that still run in a stop have to be answered.
+	stopEnds  context.Context
+	endOfStop context.CancelFunc
 	// runningStreams is the number of streams that are being served.
 	runningStreams atomic.Int64
 	heldBodies     byteLimiter
@@ -57,8 +63,9 @@
 
 // New returns a gateway that has no view of the directory yet.
 func New(o Options) *Gateway {
+	stopEnds, endOfStop := context.WithCancel(context.Background())
 	return &Gateway{
-		o: o, started: time.Now(), rnd: o.Rand,
+		o: o, started: time.Now(), rnd: o.Rand, stopEnds: stopEnds, endOfStop: endOfStop,
 		tracker: placement.NewTracker(o.DataCentre, o.Rand),
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
 		meters:      map[string]*cutover.Meter{},
@@ -69,9 +76,27 @@
 	}
 }
 
-// Drain makes the gateway close each client connection after its response and
-// admit only the requests that the plan allows.
-func (g *Gateway) Drain(p drain.Plan) { g.drainPlan.Store(&p) }
+// Drain makes the gateway close each client connection after its response, admit
+// only the requests that the plan allows, and answer those that still run before their
+// connections are cut. It is called once.
+func (g *Gateway) Drain(p drain.Plan) {
+	g.drainPlan.Store(&p)
+	time.AfterFunc(time.Until(p.AnswerBy()), g.endOfStop)
+}
+
+// errStopEnds ends the requests that still run at the end of a stop.
+var errStopEnds = eris.New("the stop of the daemon ends")
+
+// endWithStop returns a context of a request that is cancelled at the end of a stop.
+// The caller must call the returned function when the request has ended.
+func (g *Gateway) endWithStop(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(g.stopEnds, func() { cancel(errStopEnds) })
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
+}
 
 // closeConnectionIfDraining sets "Connection: close" while the daemon stops. It
 // must be called before the head of the response is written.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -49,14 +49,26 @@
 		plan := &drain.Plan{Began: now, Grace: 8 * time.Second}
 		late := now.Add(5 * time.Second)
 		short := &request{Call: &Call{}, route: &routes.Route{Kind: routes.NonIdempotent}, deadline: late.Add(time.Minute)}
-		Expect(short.admitWhileDraining(plan, late)).To(BeNil())
-		Expect(short.deadline).To(Equal(plan.Deadline()))
+		Expect(short.admitWhileDraining(plan, 300*time.Millisecond, late)).To(BeNil())
+		Expect(short.deadline).To(Equal(plan.AnswerBy()))
+		Expect(plan.AnswerBy()).To(BeTemporally("<", plan.Deadline()), "connections are cut at the deadline")
 		long := &request{Call: &Call{}, route: &routes.Route{Kind: routes.Stream}}
-		refused := long.admitWhileDraining(plan, late)
+		refused := long.admitWhileDraining(plan, 300*time.Millisecond, late)
 		Expect(refused.outcome()).To(Equal("not_run"))
 		Expect(refused.retryAfter).To(BeNumerically(">", 0))
 	})
 
+	// Guards against orders that are sent to an upstream so late in a stop that their
+	// outcome is not known at its end.
+	ginkgo.It("is refused late in a stop when requests of its route usually take longer than the rest", func() {
+		plan := &drain.Plan{Began: now, Grace: 8 * time.Second}
+		order := &request{Call: &Call{}, route: &routes.Route{Kind: routes.NonIdempotent}, deadline: now.Add(time.Minute)}
+		Expect(order.admitWhileDraining(plan, 2*time.Second, plan.AnswerBy().Add(-4*time.Second))).To(BeNil())
+		refused := order.admitWhileDraining(plan, 2*time.Second, plan.AnswerBy().Add(-4*time.Second+time.Millisecond))
+		Expect(refused.outcome()).To(Equal("not_run"))
+		Expect(order.admitWhileDraining(plan, time.Minute, now.Add(time.Second))).To(BeNil(), "the balancer has not noticed the stop")
+	})
+
 	// Guards against different contents with the same hash, and against a content
 	// whose hash differs at another daemon or in another attempt of the client.
 	ginkgo.It("has the same content hash as another only if account, method, host, target, prompt part and body are equal", func() {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -69,7 +69,7 @@
 	}
 	r, refusal := g.admit(view, &call, arrived)
 	if refusal == nil && plan != nil {
-		refusal = r.admitWhileDraining(plan, arrived)
+		refusal = r.admitWhileDraining(plan, g.usualTime(r.route), arrived)
 	}
 	if refusal == nil {
 		var held int64
@@ -98,6 +98,8 @@
 		return
 	}
 	defer func() { g.heldBodies.release(r.heldResponseBytes) }()
+	ctx, ended := g.endWithStop(ctx)
+	defer ended()
 	g.serveBuffered(ctx, w, r)
 }
 
@@ -167,16 +169,24 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: codeQuarantined, retryAfter: timeLeft, cause: cause}
 }
 
-// admitWhileDraining refuses a request that the stop of the daemon would cut. If
-// the deadline of another request that is not a stream is later than the end of
-// the plan, it becomes the end of the plan.
-func (r *request) admitWhileDraining(plan *drain.Plan, now time.Time) *refusal {
+// usualTime returns the time within which requests of a route are usually answered.
+func (g *Gateway) usualTime(route *routes.Route) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(route.TargetLatency, g.usualLatency[route.Name])
+}
+
+// admitWhileDraining refuses a request that the stop of the daemon would cut, and one
+// that would have less than twice the usual time of its route. If the deadline of
+// another request that is not a stream is later than the end of the plan, it becomes
+// the end of the plan.
+func (r *request) admitWhileDraining(plan *drain.Plan, usualTime time.Duration, now time.Time) *refusal {
 	isStream := r.route.Kind == routes.Stream
-	if !plan.Accepts(isStream, now) {
+	if !plan.Accepts(isStream, now) || !isStream && !plan.LeavesTime(2*usualTime, now) {
 		return &refusal{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stopRetryAfter}
 	}
-	if !isStream && plan.Deadline().Before(r.deadline) {
-		r.deadline = plan.Deadline()
+	if !isStream && plan.AnswerBy().Before(r.deadline) {
+		r.deadline = plan.AnswerBy()
 	}
 	return nil
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -268,4 +268,54 @@
 		Expect(do(p)).To(Equal("ok"))
 		Expect(p.conns.Load()).To(BeEquivalentTo(2))
 	})
+
+	// Guards against a response that looks complete although its upstream stopped in the
+	// middle of the head: without a length the body is empty then, and nothing is missing.
+	It("takes no response whose head is cut off at any place", func() {
+		heads := []string{
+			"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/plain\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nId: 1\r\nServer: x\r\n\r\n",
+			"HTTP/1.1 200 OK\nId: 1\nServer: x\n\n",
+			"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nServer: folded\r\n  over lines\r\n\r\n",
+			"HTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
+		}
+		pool := upstream.NewPool(upstream.DefaultOptions())
+		for _, head := range heads {
+			for n := 1; n < len(head); n++ {
+				p := newFakeUpstream(true, head[:n])
+				res, err := pool.Do(context.Background(), p.request())
+				if err == nil {
+					_, err = io.ReadAll(res.Body)
+					Expect(res.Body.Close()).To(Succeed())
+				}
+				Expect(err).To(HaveOccurred(), "head %q", head[:n])
+				Expect(errors.Is(err, upstream.ErrNotSent)).To(BeFalse(), "head %q", head[:n])
+			}
+			p := newFakeUpstream(true, head+"whole")
+			res, err := pool.Do(context.Background(), p.request())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(res.Body)).To(BeEquivalentTo("whole"))
+		}
+	})
+
+	It("takes no body that is cut off at any place", func() {
+		pool := upstream.NewPool(upstream.DefaultOptions())
+		for _, answer := range []string{
+			"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 12\r\n\r\nhello, world",
+			"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n",
+		} {
+			for n := strings.Index(answer, "\r\n\r\n") + 4; n < len(answer); n++ {
+				p := newFakeUpstream(true, answer[:n])
+				// The stand-in keeps connections open after responses that have a length.
+				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+				res, err := pool.Do(ctx, p.request())
+				if err == nil {
+					_, err = io.ReadAll(res.Body)
+					Expect(res.Body.Close()).To(Succeed())
+				}
+				cancel()
+				Expect(err).To(HaveOccurred(), "answer %q", answer[:n])
+			}
+		}
+	})
 })
