gateway, sse: bound the bytes that a stream holds, and count no event twice

Cause: a stream read ahead 64 events of up to 256 KB, 16 MB in all. And an event that was sent again counted as progress, so that an engine that repeats its first event was followed to the caller's deadline. Ruled out: heads, skipped bodies, whole answers and calls to engines, which are bounded.

Change: 64 events and 64 KB a stream, 64 KB an event. An event whose ID does not rise within a run is no progress. A fresh stream that ends before its first event is broken.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/routes"
+	"github.com/gooseberryroad/gooseberryroad/sse"
 )
 
 func TestGateway(t *testing.T) {
@@ -184,3 +186,39 @@
 		Expect(m.reserve(60)).To(BeTrue())
 	})
 })
+
+var _ = ginkgo.Describe("The queue of a stream's events", func() {
+	event := func(size int) runMessage {
+		return runMessage{event: sse.RawEvent{ID: 1, Bytes: make([]byte, size)}}
+	}
+	fill := func(q *eventQueue, size int) (queued int) {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		for q.send(ctx, event(size)) {
+			queued++
+		}
+		return queued
+	}
+
+	// Guards against a daemon that runs out of memory because an upstream sends large
+	// events without end, more than the client reads.
+	ginkgo.It("holds a bounded number of bytes, whatever the size of events", func() {
+		for _, size := range []int{1, 800, 3000, 20 << 10, sse.MaxRawEventBytes} {
+			queued := fill(newEventQueue(), size)
+			Expect(queued).To(BeNumerically(">=", 1), "size %d", size)
+			Expect(queued*size).To(BeNumerically("<=", sse.MaxRawEventBytes), "size %d", size)
+		}
+		Expect(fill(newEventQueue(), 800)).To(Equal(maxQueuedEvents), "ordinary events are read ahead")
+	})
+
+	ginkgo.It("takes more when messages are taken, and the end of a run at any time", func() {
+		q := newEventQueue()
+		for range 3 * maxQueuedEvents {
+			Expect(q.send(context.Background(), event(sse.MaxRawEventBytes))).To(BeTrue())
+			Expect(q.send(context.Background(), runMessage{end: true})).To(BeTrue())
+			for range 2 {
+				q.taken(<-q.messages)
+			}
+		}
+	})
+})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,11 +17,6 @@
 	"github.com/gooseberryroad/gooseberryroad/sse"
 )
 
-// eventBufferLength is the number of events that an attempt reads ahead of a
-// slow client. Together with sse.MaxRawEventBytes it bounds the memory that a
-// stream holds.
-const eventBufferLength = 64
-
 // maxProbes is larger than the number of probes that can be in flight at once,
 // so that a probe never blocks on a run that has ended.
 const maxProbes = 16
@@ -197,8 +192,11 @@
 	defer cancel()
 	runCtx, span := startAttempt(runCtx, p.upstream)
 	defer span.End()
-	messages := make(chan runMessage, eventBufferLength)
-	go s.read(runCtx, *p, messages)
+	events := newEventQueue()
+	go s.read(runCtx, *p, events)
+	// lastRunEventID is the ID of the run's last event. Events that the run repeats are
+	// no progress.
+	var lastRunEventID int64
 	runCopier := &copier{s: s}
 	copyResults := make(chan copyResult, 1)
 	checkTicker := time.NewTicker(copyCheckInterval)
@@ -209,7 +207,8 @@
 	for {
 		step, cause := failover.StepWait, error(nil)
 		select {
-		case m := <-messages:
+		case m := <-events.messages:
+			events.taken(m)
 			if m.end {
 				if m.verdict == verdictBroken && s.runEvents <= maxEventsBeforeCrash && !errors.Is(m.err, errPauseAsked) {
 					g.recordCrash(ctx, s.r, p.upstream, began)
@@ -225,6 +224,10 @@
 				s.stopReason = "client_gone"
 				return failover.StepGiveUp
 			}
+			if m.event.ID != 0 && m.event.ID <= lastRunEventID {
+				continue
+			}
+			lastRunEventID = max(lastRunEventID, m.event.ID)
 			s.runEvents++
 			if s.runEvents == eventsPastCrash {
 				g.recordAnswering(s.r)
@@ -383,15 +386,8 @@
 }
 
 // read sends the stream to an upstream and reads its events into out.
-func (s *stream) read(ctx context.Context, p assignment, out chan<- runMessage) {
-	send := func(m runMessage) bool {
-		select {
-		case out <- m:
-			return true
-		case <-ctx.Done():
-			return false
-		}
-	}
+func (s *stream) read(ctx context.Context, p assignment, out *eventQueue) {
+	send := func(m runMessage) bool { return out.send(ctx, m) }
 	a := Attempt{Call: s.r.Call, Instance: p.upstream, Account: s.r.account, TimeLeft: s.r.timeLeft(time.Now()), LastEventID: s.lastEventID, CopyTo: p.copyTo.Address, RestoreFrom: p.restoreFrom}
 	resp, err := s.g.o.Pool.Do(ctx, s.g.upstreamRequest(s.r, a))
 	if err != nil {
@@ -409,8 +405,11 @@
 		return
 	}
 	events := sse.NewRawReader(resp.Body)
-	for {
+	for read := 0; ; read++ {
 		ev, err := events.Next()
+		if err == io.EOF && read == 0 && a.LastEventID == 0 {
+			err = eris.New("the stream ended before its first event")
+		}
 		if err == io.EOF {
 			send(runMessage{end: true, verdict: verdictAnswered, head: resp.Header})
 			return
--- a/sse/raw.go
+++ b/sse/raw.go
@@ -9,8 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxRawEventBytes bounds the size of one event that is forwarded unchanged.
-const MaxRawEventBytes = 256 << 10
+// MaxRawEventBytes bounds the size of one event that is forwarded unchanged. Events
+// hold a few tokens.
+const MaxRawEventBytes = 64 << 10
 
 // RawEvent is one event with its bytes as they arrived, including the empty
 // line that ends it. Comments, empty lines and events without an ID belong to the next
