sources, directory, edge: names and a comment after reading the change as a newcomer

No behaviour changes: a local variable and a method are renamed, and the comment of Apply names one more setting that a reload does not change.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -413,7 +413,7 @@
 		s.confirmedAt = at
 	}
 	if !s.storeReachable {
-		s.noteOthers(u, now)
+		s.noteStoreOfOthers(u, now)
 	}
 	if s.loaded && u.Revision <= s.revision {
 		return
--- a/directory/state.go
+++ b/directory/state.go
@@ -394,10 +394,10 @@
 	s.registry.StoreUnavailable()
 }
 
-// noteOthers records whether the store serves other daemons while it does not answer
+// noteStoreOfOthers records whether the store serves other daemons while it does not answer
 // this one. Content that was confirmed before this daemon lost the store shows
 // nothing.
-func (s *state) noteOthers(u Update, now time.Time) {
+func (s *state) noteStoreOfOthers(u Update, now time.Time) {
 	at := now.Add(-u.Age)
 	switch {
 	case !u.UpToDate || u.NearOutage:
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -120,8 +120,8 @@
 }
 
 // Apply takes settings that were read again: the grace period of a stop and the
-// retry budget. Changed addresses, names and data centres take effect only when
-// the process is restarted.
+// retry budget. Changed addresses, names, data centres and bounds on stale content
+// take effect only when the process is restarted.
 func (e *Edge) Apply(s Settings) {
 	e.grace.Store(int64(s.StopGrace))
 	e.gateway.SetRetryBudget(s.budget())
--- a/sources/sources.go
+++ b/sources/sources.go
@@ -192,8 +192,8 @@
 		c.peersAsked = true
 		return Source{Kind: AskPeers}
 	}
-	old := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > maxFollowAge
-	if loaded && c.peerFailures < maxPeerFailures && !(old && c.peerFailures > 0) {
+	contentIsOld := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > maxFollowAge
+	if loaded && c.peerFailures < maxPeerFailures && !(contentIsOld && c.peerFailures > 0) {
 		stalePeers := 0
 		for _, p := range c.candidates {
 			if stalePeers >= maxStalePeers {
