gateway: count what is held of bodies in chunks, and limit the heap

Cause: a body without a length was reserved with 256 KiB and read up to max-body-bytes (4 MiB). The runtime had no memory limit, so the garbage of growing buffers came on top.

Now one reader reserves each chunk before it allocates it, for requests and answers; answers have a third of the limit for themselves; the process sets the runtime's limit to 80% of memory-mb unless GOMEMLIMIT is set.

gateway_test.go: the argument of reserve.

--- a/cli/gateway_test.go
+++ b/cli/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -86,6 +87,21 @@
 		Eventually(code, "8s").Should(Receive(Equal(cli.ExitOK)))
 	})
 
+	// Guards against a process that is killed for its memory while much of it is garbage.
+	It("collects garbage before it reaches the memory of its settings", func() {
+		GinkgoT().Setenv("GOMEMLIMIT", "")
+		before := debug.SetMemoryLimit(-1)
+		defer debug.SetMemoryLimit(before)
+		path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
+		Expect(os.WriteFile(path, []byte(settings(3)+"[limits]\nmemory-mb = 1000\n"), 0o600)).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		code := make(chan int, 1)
+		go func() { code <- cli.Run(ctx, []string{"gateway", "--config", path}, io.Discard, io.Discard) }()
+		Eventually(func() int64 { return debug.SetMemoryLimit(-1) }, "10s").Should(Equal(int64(800 << 20)))
+		cancel()
+		Eventually(code, "8s").Should(Receive(Equal(cli.ExitOK)))
+	})
+
 	It("fails when its address is in use", func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -180,10 +180,10 @@
 	// Guards against a daemon that is killed because it uses too much memory.
 	ginkgo.It("stay within the limit and are counted until they are released", func() {
 		m := byteLimiter{limit: 100}
-		Expect(m.reserve(60)).To(BeTrue())
-		Expect(m.reserve(60)).To(BeFalse())
+		Expect(m.reserve(60, m.limit)).To(BeTrue())
+		Expect(m.reserve(60, m.limit)).To(BeFalse())
 		m.release(60)
-		Expect(m.reserve(60)).To(BeTrue())
+		Expect(m.reserve(60, m.limit)).To(BeTrue())
 	})
 })
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -215,29 +214,24 @@
 	if limit <= 0 {
 		limit = maxResponseBytes
 	}
-	size := hr.ContentLength
-	if size < 0 {
-		size = reservedForUnknownLength
-	}
 	if hr.ContentLength > limit {
 		return 0, &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
 	}
-	if !g.heldBodies.reserve(size) {
-		return 0, &refusal{status: http.StatusServiceUnavailable, code: "memory", retryAfter: time.Second}
-	}
 	rc := http.NewResponseController(w)
 	// The error is ignored: only the connections of tests lack deadlines, and the
 	// deadline only bounds slow senders.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	body, reserved, err := g.heldBodies.readRequest(http.MaxBytesReader(w, hr.Body, limit), hr.ContentLength, limit)
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return size, &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
+	case errors.Is(err, errNoMemory):
+		return 0, &refusal{status: http.StatusServiceUnavailable, code: "memory", retryAfter: time.Second}
+	case errors.As(err, &tooLarge), errors.Is(err, errTooLong):
+		return 0, &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
 	case err != nil:
-		return size, &refusal{status: http.StatusBadRequest, code: "body_not_read", cause: err}
+		return 0, &refusal{status: http.StatusBadRequest, code: "body_not_read", cause: err}
 	}
 	r.Body = body
-	return size, nil
+	return reserved, nil
 }
