gateway, directory: a reverted version stays out of later orders

Cause: the verdict was part of the order's state at each daemon, and the status in the store is replaced too, so the old target counted as one of the sound versions. A daemon that starts later could not know of it at all.

Now each daemon keeps the verdict while upstreams of the version are registered, and the daemon that writes a status notes the reverted versions in the same transaction, without a further call. An order for the version itself ends it. Outcomes of a reverted version do not count for the versions to which a target is compared.

--- a/directory/state.go
+++ b/directory/state.go
@@ -38,6 +38,11 @@
 // "/" + daemon.
 const EvidencePrefix = "gooseberryroad/cutovers/"
 
+// RejectedPrefix is the prefix of the keys at which daemons note which versions of a
+// service were reverted, when they write a status: RejectedPrefix + service. The status
+// itself is replaced with the next order.
+const RejectedPrefix = "gooseberryroad/rejected/"
+
 // CrashPrefix is the prefix of the keys at which daemons publish which request
 // contents crashed upstreams: CrashPrefix + daemon.
 const CrashPrefix = "gooseberryroad/crashes/"
@@ -70,6 +75,9 @@
 	All []registry.Instance
 	// Cutovers holds the orders to move a service to a version, by service.
 	Cutovers map[string]Cutover
+	// Rejected holds the versions that were reverted, by service, as they were last noted in
+	// the store.
+	Rejected map[string]cutover.Rejected
 	// Crashes holds, for each request content, the largest number of crashes that
 	// one daemon published.
 	Crashes map[quarantine.Hash]int
@@ -137,6 +145,7 @@
 	orders       map[string]cutover.Order
 	statuses     map[string]cutover.Status
 	evidence     map[string]map[string]cutover.Evidence
+	rejected     map[string]cutover.Rejected
 	// crashes holds the crash counts that daemons published, by key.
 	crashes map[string]map[quarantine.Hash]int
 	// partReports holds the reports on prompt parts, by the daemon's name.
@@ -149,7 +158,8 @@
 		log: log, decoder: d, entries: map[string]store.Entry{},
 		registry: registry.New(), peers: map[string]sources.Peer{},
 		orders: map[string]cutover.Order{}, statuses: map[string]cutover.Status{}, evidence: map[string]map[string]cutover.Evidence{},
-		crashes: map[string]map[quarantine.Hash]int{}, partReports: map[string]PartReport{},
+		rejected: map[string]cutover.Rejected{},
+		crashes:  map[string]map[quarantine.Hash]int{}, partReports: map[string]PartReport{},
 	}
 }
 
@@ -211,6 +221,7 @@
 	case s.putInstance(e, now):
 	case s.putPeer(e):
 	case s.putCutover(e):
+	case s.putRejected(e):
 	case s.putCrashes(e):
 	case s.putPartReport(e, now):
 	default:
@@ -333,7 +344,24 @@
 	return true
 }
 
-// removeCutover removes an order or its status.
+// putRejected stores which versions of a service were reverted.
+func (s *state) putRejected(e store.Entry) bool {
+	service, ok := strings.CutPrefix(e.Key, RejectedPrefix)
+	if !ok {
+		return false
+	}
+	var versions cutover.Rejected
+	if err := json.Unmarshal(e.Value, &versions); err != nil {
+		s.log.Warn("reverted versions cannot be read", "service", service, "revision", e.Index, "cause", err)
+		return true
+	}
+	s.rejected[service] = versions
+	s.dirty = true
+	s.log.Info("reverted versions", "service", service, "versions", versions, "revision", e.Index)
+	return true
+}
+
+// removeCutover removes an order, its status or the versions that were reverted.
 func (s *state) removeCutover(e store.Entry) {
 	if o, ok, _ := s.decoder.Order(e); ok {
 		delete(s.orders, o.Service)
@@ -343,6 +371,10 @@
 		delete(s.statuses, service)
 		s.dirty = true
 	}
+	if service, ok := strings.CutPrefix(e.Key, RejectedPrefix); ok {
+		delete(s.rejected, service)
+		s.dirty = true
+	}
 }
 
 // remove removes an entry. afterOutage says that the store was available again after
@@ -437,6 +469,8 @@
 		}
 	}
 	v.PartReports = maps.Clone(s.partReports)
+	// The maps of single services are replaced, not changed.
+	v.Rejected = maps.Clone(s.rejected)
 	for service, o := range s.orders {
 		v.Cutovers[service] = Cutover{Order: o, Status: s.statuses[service], Evidence: maps.Clone(s.evidence[service])}
 	}
--- a/edge/cutover.go
+++ b/edge/cutover.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/gateway"
 	"github.com/gooseberryroad/gooseberryroad/membership"
@@ -19,7 +23,7 @@
 	defer cancel()
 	written := true
 	if w.State != "" {
-		err := e.o.Store.ReportCutover(ctx, w.Service, w.Target, w.State, w.StatusRevision)
+		err := e.reportCutover(ctx, w)
 		if errors.Is(err, store.ErrConflict) {
 			// Another daemon wrote the status first; the watch delivers it.
 			err = nil
@@ -39,6 +43,20 @@
 	return written
 }
 
+// reportCutover writes a status, and along with it which versions of the service are
+// reverted, so that no daemon sees the one without the other.
+func (e *Edge) reportCutover(ctx context.Context, w gateway.PendingWrite) error {
+	status := cutover.Status{Target: w.Target, State: w.State, Revision: w.StatusRevision}
+	if w.Rejected == nil {
+		return e.o.Store.ReportCutover(ctx, w.Service, status)
+	}
+	value, err := json.Marshal(w.Rejected)
+	if err != nil {
+		return eris.Wrap(err, "encode the reverted versions")
+	}
+	return e.o.Store.ReportCutover(ctx, w.Service, status, store.Entry{Key: directory.RejectedPrefix + w.Service, Value: value})
+}
+
 // ownRank returns the position of this daemon among all daemons for a service,
 // by rendezvous hash; 0 is the first.
 func (e *Edge) ownRank(service string) int {
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
+	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/telemetry"
 )
 
@@ -25,8 +26,9 @@
 type Store interface {
 	directory.Store
 	// ReportCutover writes the status of a cutover order if the stored status still
-	// has the given revision; 0 means that there is no status.
-	ReportCutover(ctx context.Context, service, target string, state cutover.State, revision uint64) error
+	// has the given revision; 0 means that there is no status. The other entries are
+	// written in the same transaction.
+	ReportCutover(ctx context.Context, service string, s cutover.Status, with ...store.Entry) error
 }
 
 // publish writes the status of cutover orders, this daemon's evidence about
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,10 @@
 	budgets map[string]*retrybudget.Budget
 	// cutovers holds the moves between versions, by service.
 	cutovers map[string]*cutover.Cutover
+	// rejected holds the versions that get no requests because an earlier order reverted
+	// them, by service; verdicts holds this daemon's part of it, and rejectedInStore what is
+	// noted in the store.
+	rejected, verdicts, rejectedInStore map[string]cutover.Rejected
 	// meters measure the traffic of each service.
 	meters map[string]*cutover.Meter
 	// usualLatency is the moving average of each route's latency: to the complete
@@ -68,6 +72,7 @@
 		o: o, started: time.Now(), rnd: o.Rand, stopEnds: stopEnds, endOfStop: endOfStop,
 		tracker: placement.NewTracker(o.DataCentre, o.Rand),
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
+		verdicts:    map[string]cutover.Rejected{},
 		meters:      map[string]*cutover.Meter{},
 		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes},
 		crashes:     quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,11 +15,15 @@
 // updateCutovers takes the cutover orders, their status and the evidence of
 // other daemons from a view. The caller holds g.mu.
 func (g *Gateway) updateCutovers(v *directory.View, now time.Time) {
-	for service := range g.cutovers {
+	for service, c := range g.cutovers {
+		if seen, ok := v.Cutovers[service]; !ok || c.Order() != seen.Order {
+			g.keepVerdict(c)
+		}
 		if _, ok := v.Cutovers[service]; !ok {
 			delete(g.cutovers, service)
 		}
 	}
+	g.updateRejected(v)
 	for service, seen := range v.Cutovers {
 		c := g.cutovers[service]
 		if c == nil || c.Order() != seen.Order {
@@ -38,6 +43,48 @@
 	}
 }
 
+// keepVerdict notes the target of an order that is replaced or removed, if it was found
+// bad. The caller holds g.mu.
+func (g *Gateway) keepVerdict(c *cutover.Cutover) {
+	if !c.Stopped() {
+		return
+	}
+	o := c.Order()
+	if g.verdicts[o.Service] == nil {
+		g.verdicts[o.Service] = cutover.Rejected{}
+	}
+	g.verdicts[o.Service].Add(o.Target, o.Revision)
+}
+
+// updateRejected determines the versions that get no requests, from the verdicts of this
+// daemon and from those in the store, which daemons need that start later. The caller holds
+// g.mu.
+func (g *Gateway) updateRejected(v *directory.View) {
+	running := map[string]map[string]bool{}
+	for _, in := range v.All {
+		if running[in.Service] == nil {
+			running[in.Service] = map[string]bool{}
+		}
+		running[in.Service][in.Version] = true
+	}
+	g.rejected = map[string]cutover.Rejected{}
+	for _, from := range []map[string]cutover.Rejected{g.verdicts, v.Rejected} {
+		for service, versions := range from {
+			remaining := versions.Remaining(v.Cutovers[service].Order, func(version string) bool { return running[service][version] })
+			if g.rejected[service] == nil {
+				g.rejected[service] = cutover.Rejected{}
+			}
+			for version, order := range remaining {
+				g.rejected[service].Add(version, order)
+			}
+		}
+	}
+	for service, versions := range g.verdicts {
+		g.verdicts[service] = versions.Remaining(v.Cutovers[service].Order, func(version string) bool { return running[service][version] })
+	}
+	g.rejectedInStore = v.Rejected
+}
+
 // withVerdictLogged calls f, which changes the cutover, and logs if the target
 // version is found bad by it.
 func (g *Gateway) withVerdictLogged(c *cutover.Cutover, f func()) {
@@ -60,6 +107,9 @@
 	Outcomes                 string
 	Unexamined               []string
 	Requests, TargetRequests int
+	// Rejected holds the versions that are reverted once the status is written; nil if the
+	// store holds these already.
+	Rejected cutover.Rejected
 }
 
 // PendingCutoverWrites returns what has to be written to the store now. The
@@ -75,6 +125,9 @@
 		if w.State != "" || w.Evidence != nil {
 			p := PendingWrite{Service: service, Target: c.Order().Target, Write: w, Outcomes: c.Outcomes(now), Unexamined: c.Unexamined(now)}
 			p.Requests, p.TargetRequests = c.RequestsSeen()
+			if rejected := g.rejected[service].After(c.Order(), w.State); !maps.Equal(rejected, g.rejectedInStore[service]) {
+				p.Rejected = rejected
+			}
 			out = append(out, p)
 		}
 	}
@@ -149,13 +202,22 @@
 	return same, others
 }
 
-// ofVersion returns the upstreams that run the version chosen for the request.
-// The caller holds g.mu.
+// ofVersion returns the upstreams that run the version chosen for the request, without
+// those whose version was reverted. A service of which no others are left has none,
+// unless its order was removed. The caller holds g.mu.
 func (g *Gateway) ofVersion(r *request, all []registry.Instance) []registry.Instance {
+	sound := all
+	if rejected := g.rejected[r.service]; len(rejected) > 0 {
+		sound = slices.DeleteFunc(slices.Clone(all), func(in registry.Instance) bool { return rejected.Has(in.Version) })
+	}
 	c := g.cutovers[r.service]
-	if c == nil {
+	switch {
+	case c == nil && len(sound) == 0:
 		return all
+	case c == nil:
+		return sound
 	}
+	all = sound
 	target, others := splitByVersion(all, c.Order().Target)
 	switch {
 	case c.State() == cutover.Completed && len(target) > 0:
@@ -215,6 +277,10 @@
 	defer g.mu.Unlock()
 	c := g.cutovers[r.service]
 	bad := failed || g.isSlow(r, took)
+	if g.rejected[r.service].Has(in.Version) {
+		// It says nothing of the versions to which a target is compared.
+		return
+	}
 	if c == nil {
 		g.meter(r.service).Outcome(r.route.Name, bad, now)
 	} else {
