failover, gateway: leave a silent channel early, and end the run behind it

Cause: the engine's answers to probes count the events that it has made; the count was not read. The dead connection was closed, of which the engine cannot learn, and nothing else ended the run.

Now three answers in a row that count events which have not arrived end the wait, and a run that its engine lists is stopped over another connection before the stream goes on from its memory.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -105,6 +105,8 @@
 	// probeDue is when the next probe is due.
 	probeDue      time.Time
 	probeInFlight bool
+	// missing counts the probes in a row that showed events which have not arrived.
+	missing int
 }
 
 // New returns the state of a stream that was not sent to an upstream yet.
@@ -116,7 +118,7 @@
 	s.runs++
 	s.hasCopy = copied
 	s.firstEventSeen = false
-	s.probeInFlight = false
+	s.probeInFlight, s.missing = false, 0
 	s.lastActivity = now
 	s.probeDue = now.Add(s.o.FirstEventProbeDelay)
 }
@@ -128,7 +130,7 @@
 		s.firstEventSeen, s.firstEventAt = true, now
 	}
 	s.lastActivity = now
-	s.probeInFlight = false
+	s.probeInFlight, s.missing = false, 0
 	s.probeDue = now.Add(s.o.GapProbeDelay)
 }
 
@@ -201,7 +203,7 @@
 		// An event arrived after the probe was sent.
 		return StepWait
 	}
-	s.probeInFlight = false
+	s.probeInFlight, s.missing = false, 0
 	listed := s.firstEventSeen && now.Sub(s.firstEventAt) >= s.o.MaxReportAge
 	gone := v == VerdictUnreachable || v == VerdictIdle || v == VerdictLacks && listed
 	if gone && s.runs < s.o.MaxRuns {
@@ -211,6 +213,28 @@
 	return StepWait
 }
 
+// missingProbes is the number of probes in a row after which a connection counts as dead,
+// although the upstream can be reached over others: it has made events that do not arrive.
+// An upstream's report is some hundred milliseconds old, and a slow network delivers what is
+// missing between two probes.
+const missingProbes = 3
+
+// ProbedMissing records that the upstream runs the stream and has made events of it that
+// have not arrived, and returns the next step.
+func (s *Stream) ProbedMissing(now time.Time) Step {
+	if !s.probeInFlight {
+		// An event arrived after the probe was sent.
+		return StepWait
+	}
+	s.probeInFlight = false
+	s.missing++
+	if s.missing >= missingProbes && s.runs < s.o.MaxRuns {
+		return s.Lost()
+	}
+	s.probeDue = now.Add(s.o.ProbeInterval)
+	return StepWait
+}
+
 // NextTick returns when Tick is due next.
 func (s *Stream) NextTick() time.Time {
 	limit := s.o.FirstEventTimeout
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -43,6 +43,44 @@
 		return failover.StepWait
 	}
 
+	// Guards against a stream that waits for seconds on a dead connection while its
+	// upstream reports that it makes events.
+	DescribeTable("moves once three probes in a row show events that do not arrive", func(events int, want failover.Step, within time.Duration) {
+		for range events {
+			event(50 * time.Millisecond)
+		}
+		began := now
+		for range 2 {
+			Expect(waitForStep(2 * time.Second)).To(Equal(failover.StepProbe))
+			Expect(s.ProbedMissing(now)).To(Equal(failover.StepWait))
+		}
+		Expect(waitForStep(2 * time.Second)).To(Equal(failover.StepProbe))
+		Expect(s.ProbedMissing(now)).To(Equal(want))
+		Expect(now.Sub(began)).To(BeNumerically("<", within))
+	},
+		Entry("in the middle", 20, failover.StepRestore, time.Second),
+		Entry("before the first event", 0, failover.StepRestart, 2*time.Second),
+	)
+
+	// Guards against a stream that is moved because its events are late.
+	It("stays where events arrive between the probes", func() {
+		event(50 * time.Millisecond)
+		for range 4 {
+			for range 2 {
+				Expect(waitForStep(time.Second)).To(Equal(failover.StepProbe))
+				Expect(s.ProbedMissing(now)).To(Equal(failover.StepWait))
+			}
+			event(10 * time.Millisecond)
+			Expect(s.ProbedMissing(now)).To(Equal(failover.StepWait), "the answer came after the event")
+		}
+		for range 4 {
+			Expect(waitForStep(time.Second)).To(Equal(failover.StepProbe))
+			Expect(s.ProbedMissing(now)).To(Equal(failover.StepWait))
+			Expect(waitForStep(time.Second)).To(Equal(failover.StepProbe))
+			Expect(s.Probed(failover.VerdictHolds, now)).To(Equal(failover.StepWait))
+		}
+	})
+
 	// Guards against a stream that uses up all its runs within 60 ms at two crashed
 	// engines while the others are full and would have capacity soon.
 	It("reports few runs left only for its last two runs", func() {
--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
@@ -101,6 +102,53 @@
 	}
 }
 
+const (
+	// stopTimeout bounds the calls that stop a run. They wait behind other copies.
+	stopTimeout = 500 * time.Millisecond
+	// stopRetryPause is the pause before such a call is repeated because the engine still
+	// copies the run.
+	stopRetryPause = 50 * time.Millisecond
+)
+
+// stopRun stops a run at an engine that can be reached although the run's connection is
+// dead: closing the connection would not stop it, and the run would go on beside the next
+// one. It reports whether the run was stopped and its memory kept, and sets where the
+// stream goes on.
+func (s *stream) stopRun(ctx context.Context, p *assignment) bool {
+	to := p.copyTo
+	if to.ID == "" || !s.g.available(to, time.Now()) {
+		next, ok := s.chooseCopyTarget(p.upstream)
+		if !ok {
+			return false
+		}
+		to = next
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	target, request := s.g.o.Protocol.StopRequest(s.r.ID, to.Address)
+	for {
+		resp, body, err := s.g.call(ctx, p.upstream, http.MethodPost, target, request)
+		if err == nil && resp.Status == http.StatusConflict && pause.For(ctx, stopRetryPause) {
+			continue
+		}
+		var handle string
+		if err == nil {
+			handle, err = s.g.o.Protocol.DecodeCopyHandle(body)
+		}
+		if err != nil {
+			s.g.o.Logger.Info("run not stopped", "id", s.r.ID, "upstream", p.upstream.ID, "cause", err)
+			return false
+		}
+		if resp.Status != http.StatusOK {
+			// The run was stopped and not copied; its engine kept the memory.
+			to = p.upstream
+		}
+		s.g.o.Logger.Info("run stopped", "id", s.r.ID, "upstream", p.upstream.ID, "next", to.ID, "after", s.lastEventID)
+		p.copyTo, p.copyHandle = to, handle
+		return true
+	}
+}
+
 // chooseCopyTarget chooses an engine outside the data centre of the run's
 // engine.
 func (s *stream) chooseCopyTarget(in registry.Instance) (registry.Instance, bool) {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -91,6 +91,9 @@
 type EngineReport struct {
 	Load    placement.Load
 	Verdict failover.Verdict
+	// Events is the number of events that the engine has made of the run that it holds; 0 if
+	// it is not known.
+	Events int64
 	// StartedMs is when the engine started, in Unix milliseconds; 0 is unknown.
 	StartedMs int64
 	// Models are the names of the models that the engine serves.
@@ -116,6 +119,9 @@
 	// DecodeCachedTokens returns how many tokens of a prompt's last part an engine
 	// keeps in its KV cache.
 	DecodeCachedTokens(body []byte, prompt string) (int, error)
+	// StopRequest returns the path and the body of the call that stops a run, after which
+	// another engine goes on with its KV cache; DecodeCopyHandle decodes its response.
+	StopRequest(id, to string) (target string, body []byte)
 	// CopyRequest returns the path and the body of the call that copies a run's KV
 	// cache to another engine; DecodeCopyHandle decodes its response.
 	CopyRequest(id, to string) (target string, body []byte)
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -322,6 +322,18 @@
 }
 
 func (g *Gateway) askWithHeader(ctx context.Context, in registry.Instance, method, target string, request []byte) ([]byte, http.Header, error) {
+	resp, body, err := g.call(ctx, in, method, target, request)
+	if err != nil {
+		return nil, nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, nil, eris.Errorf("engine responded with status %d", resp.Status)
+	}
+	return body, resp.Header, nil
+}
+
+// call makes a control call and returns the response, whatever its status, and its body.
+func (g *Gateway) call(ctx context.Context, in registry.Instance, method, target string, request []byte) (*upstream.Response, []byte, error) {
 	header := http.Header{}
 	if request != nil {
 		header.Set("Content-Type", "application/json")
@@ -340,10 +352,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "read the engine's response")
 	}
-	if resp.Status != http.StatusOK {
-		return nil, nil, eris.Errorf("engine responded with status %d", resp.Status)
-	}
-	return body, resp.Header, nil
+	return resp, body, nil
 }
 
 // queryReport asks an engine for its state and records its load in the tracker.
@@ -362,14 +371,14 @@
 	return report, true
 }
 
-// probe asks an engine whether it still runs a stream and sends the verdict to
+// probe asks an engine whether it still runs a stream and sends the answer to
 // out. An engine that has restarted since it was registered does not run it.
-func (g *Gateway) probe(ctx context.Context, in registry.Instance, id string, out chan<- failover.Verdict) {
+func (g *Gateway) probe(ctx context.Context, in registry.Instance, id string, out chan<- EngineReport) {
 	ctx, cancel := context.WithTimeout(ctx, g.o.Failover.ProbeTimeout)
 	defer cancel()
 	report, _ := g.queryReport(ctx, in, id)
 	if report.StartedMs != 0 && in.StartUnixMilli != 0 && report.StartedMs != in.StartUnixMilli {
 		report.Verdict = failover.VerdictIdle
 	}
-	out <- report.Verdict
+	out <- report
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -201,7 +201,10 @@
 	copyResults := make(chan copyResult, 1)
 	checkTicker := time.NewTicker(copyCheckInterval)
 	defer checkTicker.Stop()
-	probes := make(chan failover.Verdict, maxProbes)
+	probes := make(chan EngineReport, maxProbes)
+	// held says that the upstream answered the last probe after the last event, and runs
+	// the stream.
+	held := false
 	timer := time.NewTimer(time.Until(s.state.NextTick()))
 	defer timer.Stop()
 	for {
@@ -229,6 +232,7 @@
 			}
 			lastRunEventID = max(lastRunEventID, m.event.ID)
 			s.runEvents++
+			held = false
 			if s.runEvents == eventsPastCrash {
 				g.recordAnswering(s.r)
 			}
@@ -246,8 +250,13 @@
 				readingPrompt = false
 				g.withTracker(func(b *placement.Tracker) { b.AddPrefills(p.upstream.ID, -1) })
 			}
-		case v := <-probes:
-			step, cause = s.state.Probed(v, time.Now()), eris.Errorf("verdict of the probe: %s", v)
+		case report := <-probes:
+			held = report.Verdict == failover.VerdictHolds
+			if missing := report.Events - s.lastEventID; held && missing > 0 {
+				step, cause = s.state.ProbedMissing(time.Now()), eris.Errorf("%d events do not arrive", missing)
+			} else {
+				step, cause = s.state.Probed(report.Verdict, time.Now()), eris.Errorf("verdict of the probe: %s", report.Verdict)
+			}
 		case <-checkTicker.C:
 			if waited := time.Since(began); readingPrompt && !countedSlow && g.firstEventOverdue(s.r, p.upstream, waited) {
 				countedSlow = true
@@ -272,6 +281,9 @@
 		case failover.StepProbe:
 			go g.probe(runCtx, p.upstream, s.r.ID, probes)
 		default:
+			if held && step != failover.StepGiveUp && s.stopRun(ctx, p) {
+				step = failover.StepRestore
+			}
 			s.recordLoss(*p, step, cause, began)
 			return step
 		}
