plain, completions: try replies that are cut off at any place

Each place of a cut in three replies of a plain service (head, body with a length, chunks), and in the stream of an engine, is an error: the caller gets may_have_run, and no stream counts as finished.

gateway: updateRejected in an order that is easier to read; same results.

--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -67,20 +67,21 @@
 		}
 		running[in.Service][in.Version] = true
 	}
-	g.rejected = map[string]cutover.Rejected{}
-	for _, from := range []map[string]cutover.Rejected{g.verdicts, v.Rejected} {
-		for service, versions := range from {
-			remaining := versions.Remaining(v.Cutovers[service].Order, func(version string) bool { return running[service][version] })
-			if g.rejected[service] == nil {
-				g.rejected[service] = cutover.Rejected{}
-			}
-			for version, order := range remaining {
-				g.rejected[service].Add(version, order)
-			}
-		}
+	remaining := func(service string, versions cutover.Rejected) cutover.Rejected {
+		return versions.Remaining(v.Cutovers[service].Order, func(version string) bool { return running[service][version] })
 	}
+	g.rejected = map[string]cutover.Rejected{}
 	for service, versions := range g.verdicts {
-		g.verdicts[service] = versions.Remaining(v.Cutovers[service].Order, func(version string) bool { return running[service][version] })
+		g.verdicts[service] = remaining(service, versions)
+		g.rejected[service] = maps.Clone(g.verdicts[service])
+	}
+	for service, versions := range v.Rejected {
+		if g.rejected[service] == nil {
+			g.rejected[service] = cutover.Rejected{}
+		}
+		for version, order := range remaining(service, versions) {
+			g.rejected[service].Add(version, order)
+		}
 	}
 	g.rejectedInStore = v.Rejected
 }
--- a/modules/engine/completions/completions_test.go
+++ b/modules/engine/completions/completions_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -384,6 +386,40 @@
 		DeferCleanup(srv.Close)
 		return srv.Listener.Addr().String()
 	}
+	// Guards against an engine that stops in the middle of its answer, which then seems to
+	// be complete.
+	It("takes no stream for finished that is cut off at any place before its finish reason", func() {
+		answer := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" +
+			"id: 0\ndata: {\"choices\":[{\"text\":\"a \"}]}\n\ndata: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n"
+		var sent atomic.Int64
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer[:sent.Load()])
+			_ = conn.Close()
+		}))
+		DeferCleanup(srv.Close)
+		try := func(n int) error {
+			sent.Store(int64(n))
+			s, err := completions.New(completions.Options{}).Start(context.Background(), srv.Listener.Addr().String(), engine.Request{ID: "a"})
+			if err != nil {
+				return err
+			}
+			_, _, err = read(context.Background(), s)
+			return err
+		}
+		var f *engine.FinishedError
+		for n := range len(answer) - len("\n\n") {
+			err := try(n)
+			Expect(err).To(HaveOccurred(), "%q", answer[:n])
+			Expect(errors.As(err, &f)).To(BeFalse(), "%q", answer[:n])
+		}
+		Expect(finished(try(len(answer)))).To(Equal(engine.FinishStop))
+	})
+
 	// Guards against a token at the wrong position in the answer (promise P1).
 	DescribeTable("reports a stream as broken on",
 		func(body, message string) {
--- a/plain/plain_test.go
+++ b/plain/plain_test.go
@@ -347,6 +347,38 @@
 		Expect(c1.Load() + c2.Load()).To(Equal(int64(1)))
 	})
 
+	// Guards against a reply whose upstream stopped in the middle of its head or body and
+	// that reaches the caller as a whole one.
+	It("is refused with may_have_run wherever the reply is cut off", func() {
+		for _, reply := range []string{
+			"HTTP/1.1 201 Created\r\nX-Order: 17\r\nContent-Length: 7\r\n\r\nordered",
+			"HTTP/1.1 201 Created\r\nX-Order: 17\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nordered\r\n0\r\n\r\n",
+			"HTTP/1.1 201 Created\r\nX-Order: 17\r\nConnection: close\r\n\r\n",
+		} {
+			var sent atomic.Int64
+			address, _ := newUpstream(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, reply[:sent.Load()])
+				_ = c.Close()
+			})
+			f := newFixture(nil, address)
+			for n := range int64(len(reply)) {
+				sent.Store(n)
+				a := f.mustCall("POST", "/services/shop/orders", "honey", "Idempotency-Key", fmt.Sprint("k", n), "X-Request-Timeout-Ms", "2000")
+				Expect(a.outcome).To(Equal("may_have_run"), "%q", reply[:n])
+				Expect(a.header.Get("X-Order")).To(BeEmpty(), "%q", reply[:n])
+			}
+			sent.Store(int64(len(reply)))
+			Expect(f.mustCall("POST", "/services/shop/orders", "honey", "Idempotency-Key", "whole").status).To(Equal(201))
+		}
+	})
+
 	// Guards promise P6 (at most one run per key) against net/http.Transport, which
 	// repeats a request on its own when a reused connection breaks and the method
 	// is GET or the header has an idempotency key.
