placement, gateway: ask full engines for their load before repeats

After a refusal an engine pauses for 40 ms, the other is the only choice then, and an engine without alternative was not asked for its load: the two took turns, one refusal each 20 ms, and used up the budget (3 of 4). And a load report counts for 30 ms from its arrival, so that one engine that answers late makes the others' reports old before the choice; with a report delayed by 45 ms the test fails each time.

Now a request that was sent before asks also an engine that is the only choice, and what is reported during a search counts until its end.

--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -69,7 +69,7 @@
 		// the retry budget.
 		ranked := s.candidates()
 		if s.r.engine != nil {
-			ranked = s.g.rankByLoad(ctx, s.r, ranked)
+			ranked = s.g.rankByLoad(ctx, s.r, ranked, s.attempts > 0)
 		}
 		// A load query costs nothing from the retry budget, while a refusal does.
 		if len(ranked) > 0 && !ranked[0].SlotsTaken {
@@ -202,14 +202,21 @@
 
 // rankByLoad asks a few engines for their load. It returns those that respond
 // and have a free slot, best first, then those that were not asked, then those
-// that respond and are full. Engines that do not respond are left out.
-func (g *Gateway) rankByLoad(ctx context.Context, r *request, ranked []placement.Ranked) []placement.Ranked {
+// that respond and are full. Engines that do not respond are left out. repeat says that the
+// request was sent before.
+func (g *Gateway) rankByLoad(ctx context.Context, r *request, ranked []placement.Ranked, repeat bool) []placement.Ranked {
+	// What an engine reports during the search counts until its end: a report must not get
+	// old because another engine, or this process, is slow.
+	began := time.Now()
 	rank := func(of []registry.Instance) []placement.Ranked {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		return g.tracker.Rank(of, r.remoteBias(), time.Now())
+		return g.tracker.Rank(of, r.remoteBias(), began)
 	}
 	plan := placement.NewProbePlan(ranked, r.PromptPartID, g.o.DataCentre)
+	if repeat {
+		plan.ForRepeat()
+	}
 	for {
 		asked := plan.Next()
 		if len(asked) == 0 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -241,6 +241,18 @@
 		Expect(plan.Next()).To(BeEmpty(), "not all engines of a full service are asked")
 	})
 
+	// Guards against a stream that uses up the retry budget at engines that are full,
+	// each of which is the only one left while the others pause after a refusal.
+	It("asks an engine that is the only choice for its load if a refusal counts as a repeat", func() {
+		rank := func(of []registry.Instance) []placement.Ranked { return tracker.Rank(of, 0, now) }
+		only := rank(all[:1])
+		Expect(placement.NewProbePlan(only, "prompt", "here").Next()).To(BeEmpty())
+		plan := placement.NewProbePlan(only, "prompt", "here")
+		plan.ForRepeat()
+		Expect(plan.Next()).To(HaveLen(1))
+		Expect(plan.Next()).To(BeEmpty())
+	})
+
 	// Streams that arrive together, as after the crash of a daemon, must not all
 	// take the last slot of the engine that each of them ranked best.
 	It("gives the last slot to only one of several concurrent requests", func() {
--- a/placement/scouts.go
+++ b/placement/scouts.go
@@ -28,6 +28,8 @@
 	unprobed           []Ranked
 	answered           []registry.Instance
 	rounds             int
+	// repeat says that a refusal would count against the retry budget.
+	repeat bool
 }
 
 // NewProbePlan returns a plan that searches among ranked engines for one that
@@ -36,6 +38,10 @@
 	return &ProbePlan{prompt: prompt, dataCentre: dataCentre, unprobed: ranked}
 }
 
+// ForRepeat makes the plan ask an engine that is the only choice too: the refusal of a
+// repeat counts against the retry budget.
+func (p *ProbePlan) ForRepeat() { p.repeat = true }
+
 // Next returns the engines to ask now, or none when the search is over. The
 // prompt decides which engines of the daemon's data centre are asked first, so
 // that all daemons of the data centre look for a prompt at the same few engines.
@@ -60,7 +66,7 @@
 			others = append(others, c)
 		}
 	}
-	if p.rounds == 1 && len(targets) < 2 {
+	if p.rounds == 1 && len(targets) < 2 && !p.repeat {
 		// There is no choice between engines, so their load need not be asked.
 		return nil
 	}
