cli: wait for the start of the daemon in the test of its memory limit

The limit is set before the daemon starts, so that the test could end the context during the start, which is an error. 24 copies, 12 at once: 17 failed before, none after. The checks are as they were.

--- a/cli/gateway_test.go
+++ b/cli/gateway_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/gooseberryroad/gooseberryroad/cli"
 )
@@ -95,8 +96,10 @@
 		path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
 		Expect(os.WriteFile(path, []byte(settings(3)+"[limits]\nmemory-mb = 1000\n"), 0o600)).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
+		out := gbytes.NewBuffer()
 		code := make(chan int, 1)
-		go func() { code <- cli.Run(ctx, []string{"gateway", "--config", path}, io.Discard, io.Discard) }()
+		go func() { code <- cli.Run(ctx, []string{"gateway", "--config", path}, out, io.Discard) }()
+		Eventually(out, "10s").Should(gbytes.Say("daemon started"))
 		Eventually(func() int64 { return debug.SetMemoryLimit(-1) }, "10s").Should(Equal(int64(800 << 20)))
 		cancel()
 		Eventually(code, "8s").Should(Receive(Equal(cli.ExitOK)))
