soak: give each soak a block of ports of its own

Two soaks that were started together (process IDs 2 apart) reported hundreds of broken promises: orders that ran twice after 0.1 s, upstreams that ran requests "which no caller sent", a daemon that did not become ready. The first port was derived from the process ID, so both assigned the same ports: the port of a daemon that is down looks free, and its neighbour's daemon took it.

A soak now listens at the first port of its block for as long as it runs. The test "never assigns a port to two soaks" fails on the old code, where two Ports begin with the same port.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -116,7 +116,11 @@
 // runSeeds runs the seeds, at most parallel of them at once, and prints their
 // outcomes. It returns an error when a run failed or a seed broke a promise.
 func runSeeds(ctx context.Context, runs []soakRun, parallel int, o soak.Options, out io.Writer) error {
-	ports := soak.NewPorts()
+	ports, err := soak.NewPorts()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ports.Close() }()
 	next := make(chan soakRun)
 	var mu sync.Mutex
 	var errs []error
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -22,6 +22,9 @@
 	// connections, so that a daemon's port is still free when it starts again.
 	firstPort = 20000
 	lastPort  = 32000
+	// blockSize is the number of ports of one soak. The daemons of all seeds that run at
+	// the same time need fewer.
+	blockSize = 2000
 	// exitSlack is how long a process that was asked to stop may run beyond its
 	// grace before it is killed.
 	exitSlack = time.Second
@@ -175,29 +178,48 @@
 	return pages * os.Getpagesize() >> 20
 }
 
-// Ports assigns free TCP ports of the loopback interface.
+// Ports assigns free TCP ports of the loopback interface from a block that no other Ports
+// uses, also in another process: the port of a daemon that is down looks free, and a daemon
+// that took it would serve the callers of another soak.
 type Ports struct {
-	mu   sync.Mutex
-	next int
+	mu sync.Mutex
+	// first is the first port of the block and next the one that is tried next.
+	first, next int
+	// guard listens at the first port for as long as the block is used.
+	guard net.Listener
 }
 
-// NewPorts returns Ports whose first number depends on the process ID, so that
-// concurrent processes rarely try the same ports.
-func NewPorts() *Ports { return &Ports{next: firstPort + os.Getpid()%((lastPort-firstPort)/2)} }
+// NewPorts returns Ports with a block of their own. The first block that it tries depends
+// on the process ID.
+func NewPorts() (*Ports, error) {
+	const blocks = (lastPort - firstPort) / blockSize
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*blockSize
+		if guard, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return &Ports{first: first, next: first + 1, guard: guard}, nil
+		}
+	}
+	return nil, eris.Errorf("all %d blocks of ports are in use by other soaks", blocks)
+}
 
-// address returns the next HOST:PORT that can be listened on.
+// Close frees the block.
+func (p *Ports) Close() error { return eris.Wrap(p.guard.Close(), "free a block of ports") }
+
+// address returns the next HOST:PORT that can be listened on. After the last one of the
+// block it goes on with the first.
 func (p *Ports) address() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.next < lastPort {
+	for range blockSize {
 		a := fmt.Sprintf("127.0.0.1:%d", p.next)
-		p.next++
+		if p.next++; p.next == p.first+blockSize {
+			p.next = p.first + 1
+		}
 		l, err := net.Listen("tcp4", a)
 		if err != nil {
-			continue // taken by another process
+			continue // in use
 		}
 		return a, eris.Wrap(l.Close(), "close the listener of a free port")
 	}
-	p.next = firstPort
 	return "", eris.New("no free port for a daemon")
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -269,6 +269,35 @@
 	})
 })
 
+var _ = Describe("Ports", func() {
+	// Guards against two soaks at the same time whose daemons take each other's ports while
+	// they are down: one soak's callers were served by the other's daemons.
+	It("never assigns a port to two soaks", func() {
+		taken := map[string]bool{}
+		for range 3 {
+			p, err := NewPorts()
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(p.Close)
+			for range 50 {
+				a, err := p.address()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(taken).NotTo(HaveKey(a))
+				taken[a] = true
+			}
+		}
+	})
+
+	It("goes on with the first port of its block after the last one", func() {
+		p, err := NewPorts()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		for range blockSize + 10 {
+			_, err := p.address()
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+})
+
 var _ = Describe("link", func() {
 	var l *link
 	BeforeEach(func() {
