--- a/soak/plan.go
+++ b/soak/plan.go
@@ -21,6 +21,7 @@
 	DropToServer        FaultKind = "cut-forth"  // bytes towards the server are dropped
 	DropFromServer      FaultKind = "cut-back"   // bytes from the server are dropped
 	DropBoth            FaultKind = "silence"    // bytes in both directions are dropped, connections stay open
+	SilenceOpen         FaultKind = "mute"       // the open connections of a link go silent, new ones work
 	RefuseCalls         FaultKind = "refuse"     // the store refuses every call
 	LoseResponse        FaultKind = "lose"       // the store executes calls and cuts the connection
 	Kill                FaultKind = "kill"       // a daemon is killed and started again
@@ -76,6 +77,7 @@
 	},
 	{{WholeSystem, MoveGood}, {WholeSystem, MoveGood}, {WholeSystem, MoveBad}, {WholeSystem, MoveBad}},
 	{{WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}},
+	{{Upstreams, SilenceOpen}, {Upstreams, SilenceOpen}, {PeerLinks, SilenceOpen}, {StoreLinks, SilenceOpen}},
 }
 
 // Fault is one fault of a plan.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +33,10 @@
 	// faults may overlap.
 	dropToServer, dropFromServer, delay atomic.Int32
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu sync.Mutex
+	// conns holds the open connections; the value is above 0 while the connection is silent
+	// although new ones work.
+	conns map[net.Conn]*atomic.Int32
 }
 
 func newLink(server func() string) (*link, error) {
@@ -40,7 +44,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for a proxy")
 	}
-	p := &link{Listener: l, server: server, conns: map[net.Conn]struct{}{}}
+	p := &link{Listener: l, server: server, conns: map[net.Conn]*atomic.Int32{}}
 	go p.accept()
 	return p, nil
 }
@@ -66,10 +70,10 @@
 		reset(client)
 		return
 	}
-	p.track(client, server)
+	silent := p.track(client, server)
 	done := make(chan struct{}, 2)
-	go p.copyOneWay(client, server, &p.dropToServer, done)
-	go p.copyOneWay(server, client, &p.dropFromServer, done)
+	go p.copyOneWay(client, server, func() bool { return p.dropToServer.Load()+silent.Load() > 0 }, done)
+	go p.copyOneWay(server, client, func() bool { return p.dropFromServer.Load()+silent.Load() > 0 }, done)
 	<-done
 	<-done
 	p.untrack(client, server)
@@ -78,7 +82,7 @@
 // copyOneWay copies bytes in one direction. It forwards a reset as a reset and an
 // end of the stream as an end. Dropped bytes are not sent later, so the connection
 // is reset after the fault.
-func (p *link) copyOneWay(from, to net.Conn, drop *atomic.Int32, done chan<- struct{}) {
+func (p *link) copyOneWay(from, to net.Conn, dropping func() bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, readBufferSize)
 	dropped := false
@@ -87,7 +91,7 @@
 		if p.delay.Load() > 0 {
 			time.Sleep(linkDelay)
 		}
-		if drop.Load() > 0 {
+		if dropping() {
 			dropped = true
 			if err == nil {
 				continue
@@ -96,7 +100,7 @@
 		if dropped {
 			// A stream with missing bytes must not continue. The reset waits for
 			// the end of the fault, during which the link is silent.
-			for drop.Load() > 0 {
+			for dropping() {
 				time.Sleep(linkDelay / 10)
 			}
 			reset(from)
@@ -132,13 +136,26 @@
 	_ = c.Close()
 }
 
-// track records open connections for resetAll.
-func (p *link) track(conns ...net.Conn) {
+// track records open connections that are silent together, for resetAll and openConnections.
+func (p *link) track(conns ...net.Conn) (silent *atomic.Int32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	silent = &atomic.Int32{}
 	for _, c := range conns {
-		p.conns[c] = struct{}{}
+		p.conns[c] = silent
 	}
+	return silent
+}
+
+// openConnections returns the counters of the connections that are open now.
+func (p *link) openConnections() []*atomic.Int32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	unique := map[*atomic.Int32]bool{}
+	for _, silent := range p.conns {
+		unique[silent] = true
+	}
+	return slices.Collect(maps.Keys(unique))
 }
 
 // untrack closes connections and no longer records them.
@@ -166,6 +183,8 @@
 	switch k {
 	case Reset:
 		p.resetAll()
+	case SilenceOpen:
+		counters = p.openConnections()
 	case Delay:
 		counters = []*atomic.Int32{&p.delay}
 	case DropToServer:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -345,7 +346,17 @@
 		Expect(echo(c)).NotTo(Succeed())
 		end()
 		Expect(echo(dial())).To(Succeed())
-	}, Entry("reset", Reset), Entry("bytes to the server dropped", DropToServer), Entry("bytes from the server dropped", DropFromServer), Entry("bytes in both directions dropped", DropBoth))
+	}, Entry("reset", Reset), Entry("bytes to the server dropped", DropToServer), Entry("bytes from the server dropped", DropFromServer), Entry("bytes in both directions dropped", DropBoth),
+		Entry("open connections silent", SilenceOpen))
+
+	It("silences open connections only", func() {
+		c := dial()
+		Expect(echo(c)).To(Succeed())
+		defer l.fault(SilenceOpen)()
+		Expect(echo(dial())).To(Succeed())
+		var timeout net.Error
+		Expect(errors.As(echo(c), &timeout) && timeout.Timeout()).To(BeTrue(), "not a reset")
+	})
 
 	It("delays bytes", func() {
 		c := dial()
