--- a/directory/timing.go
+++ b/directory/timing.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// DefaultMaxStaleness is the strictest bound that a deployment of the platform has set.
+// DefaultMaxStaleness is the bound on stale content where the settings name none.
 const DefaultMaxStaleness = 2 * time.Second
 
 const (
-	// maxConfirmInterval and maxCallTimeout are the figures of deployments whose bound
-	// on stale content is wide. A slow store takes some hundred milliseconds.
+	// maxConfirmInterval and maxCallTimeout apply where the bound on stale content is
+	// wide. A slow store takes some hundred milliseconds.
 	maxConfirmInterval = 1500 * time.Millisecond
 	maxCallTimeout     = 700 * time.Millisecond
 )
