soak: a time in which processes do not run counts as a fault; daemons log it

Nothing recorded whether a process ran. The callers wait 500 ms with a timer; when the whole soak stands still, the timer has expired at its end, before the upstream sees the close.

Change: telemetry.WatchStalls notices timers that are 0.1 s late or more. A daemon logs "process stalled" and counts it. The soak watches itself, reads the daemons' logs, and treats each stall as it treats an injected pause: rules with a time bound are not judged in it and for the 2 s after it, all others are. A seed prints number and sum of stalls.

Also wrong in the check of "gone": a daemon that was paused in the 500 ms after the caller left counted as broken, while the same was allowed for the upstream. It now ends both at the same time.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -80,6 +80,9 @@
 	if err := d.Start(e.ctx); err != nil {
 		return err
 	}
+	watching, stopWatching := context.WithCancel(e.ctx)
+	defer stopWatching()
+	go telemetry.WatchStalls(watching, telemetry.RecordStalls(telemetry.WithPart(logger, "edge")))
 	settingsPoll := time.NewTicker(settingsPollInterval)
 	defer settingsPoll.Stop()
 	for stop := false; !stop; {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -146,6 +146,8 @@
 	moves          []move
 	poisonRequests []poisonRequest
 	faults         faultIntervals
+	// stalls are times in which the soak's own process did not run.
+	stalls []interval
 	// plannedStops are the planned stops of daemons, from SIGTERM until the daemon
 	// was ready again or its start had timed out.
 	plannedStops faultIntervals
@@ -216,7 +218,7 @@
 	if allowed && a.status >= 400 && a.status < 500 && !notRun(a.status) {
 		report("denied")
 	}
-	if !obs.daemonUnaffected(a) {
+	if !obs.daemonUnaffected(a, a.ended) {
 		return out
 	}
 	if a.cut && obs.mustBeAnswered(a, runs) {
@@ -229,7 +231,8 @@
 	if !a.abandoned && a.ended.Sub(a.sent) > wait+answerSlack {
 		report("late: the wait was %.1f s", wait.Seconds())
 	}
-	if a.abandoned && a.stillRunningOn >= 0 && obs.faults.unaffected(Upstreams, a.stillRunningOn, a.sent, a.ended.Add(maxCancelTime)) {
+	if a.abandoned && a.stillRunningOn >= 0 && obs.daemonUnaffected(a, a.ended.Add(maxCancelTime)) &&
+		obs.faults.unaffected(Upstreams, a.stillRunningOn, a.sent, a.ended.Add(maxCancelTime)) {
 		report("gone: upstream %d still works", a.stillRunningOn)
 	}
 	if a.longestGap > maxGap && obs.faults.countAffectedUpstreams(obs.engines, a.gapEnd.Add(-a.longestGap), a.gapEnd) <= toleratedEngineFaults {
@@ -239,9 +242,9 @@
 }
 
 // daemonUnaffected reports whether no fault affected the daemon of an attempt or the
-// link to it, so that the rules with a time bound hold.
-func (obs *observations) daemonUnaffected(a attempt) bool {
-	return obs.faults.unaffected(Daemons, a.daemon, a.sent, a.ended) && obs.faults.unaffected(ClientLinks, a.daemon, a.sent, a.ended)
+// link to it until a time, so that the rules with a time bound hold.
+func (obs *observations) daemonUnaffected(a attempt, to time.Time) bool {
+	return obs.faults.unaffected(Daemons, a.daemon, a.sent, to) && obs.faults.unaffected(ClientLinks, a.daemon, a.sent, to)
 }
 
 // countConcurrent sets concurrent for each attempt. Upstreams may refuse requests
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,6 +17,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/platform/platformtest"
+	"github.com/gooseberryroad/gooseberryroad/telemetry"
 )
 
 const (
@@ -84,13 +85,18 @@
 	// PeakMB is the largest resident memory of any daemon in MiB, sampled at each
 	// signal to a daemon.
 	PeakMB int
+	// Stalls are times in which the soak or a daemon did not run although no fault was
+	// injected, because the machine was busy or suspended. StallTime is their sum. They
+	// count as faults.
+	Stalls    int
+	StallTime time.Duration
 	// LogDirectory holds the daemons' logs; "" for a seed without violations.
 	LogDirectory string
 }
 
 func (r Outcome) String() string {
-	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d MB, %d broken",
-		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete, r.PeakMB, len(r.Violations))
+	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d MB, %d stalls (%.1f s), %d broken",
+		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
 	for _, v := range r.Violations {
 		s += "\n  " + v
 	}
@@ -302,6 +308,7 @@
 	}
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
+	go telemetry.WatchStalls(sending, s.recordStall)
 	callers := make([]*caller, s.options.Callers)
 	var callersDone, faultsDone sync.WaitGroup
 	for i := range callers {
@@ -327,12 +334,12 @@
 	if err := errors.Join(ctx.Err(), s.faultErr); err != nil {
 		return Outcome{}, eris.Wrap(err, "soak")
 	}
-	return s.report(callers, violations), nil
+	return s.report(callers, violations)
 }
 
 // report checks the observations and returns the outcome with their violations and
-// those found before.
-func (s *Soak) report(callers []*caller, violations []string) Outcome {
+// those found before. The daemons must have ended.
+func (s *Soak) report(callers []*caller, violations []string) (Outcome, error) {
 	r := Outcome{Seed: s.seed, Violations: violations, Faults: s.faultsInjected, Moves: len(s.observed.moves)}
 	for _, c := range callers {
 		s.observed.attempts = append(s.observed.attempts, c.attempts...)
@@ -345,6 +352,15 @@
 		}
 	}
 	s.recordPoisonCrashes()
+	stalls, err := s.addDaemonStalls()
+	if err != nil {
+		return Outcome{}, err
+	}
+	s.observed.addStalls()
+	for _, iv := range slices.Concat(stalls, s.observed.stalls) {
+		r.Stalls++
+		r.StallTime += iv.to.Sub(iv.from)
+	}
 	r.Violations = append(r.Violations, s.observed.check()...)
 	for _, d := range s.daemons {
 		r.Violations = append(r.Violations, d.violations...)
@@ -355,7 +371,7 @@
 	}
 	for _, a := range s.observed.attempts {
 		r.Requests++
-		if s.observed.daemonUnaffected(a) {
+		if s.observed.daemonUnaffected(a, a.ended) {
 			r.Unaffected++
 		}
 		switch {
@@ -367,7 +383,7 @@
 			r.Complete++
 		}
 	}
-	return r
+	return r, nil
 }
 
 // awaitReady waits until a daemon reports that it is ready. It returns false if it
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -258,6 +259,39 @@
 		Expect(check(a)).To(BeEmpty(), "the upstream may not have seen the close")
 	})
 
+	// Guards against a verdict that depends on the machine: in CI the soak's processes stood
+	// still for more than half a second, and requests of callers that had left counted as
+	// still running.
+	It("judges no time bound by a time in which the soak did not run", func() {
+		a := request(platformtest.Stream)
+		a.abandoned, a.stillRunningOn = true, 3
+		obs.stalls = []interval{{at(10.1), at(10.7)}}
+		Expect(check(a)).To(ConsistOf(HavePrefix("gone")), "the stall is not yet known")
+		obs.addStalls()
+		Expect(check(a)).To(BeEmpty())
+		a.mismatch = "event 7 comes after 5"
+		Expect(check(a)).To(ConsistOf(HavePrefix("mixed")), "this has no time bound")
+	})
+
+	It("reports no work for callers that disconnected right before their daemon was stopped", func() {
+		a := request(platformtest.Stream)
+		a.abandoned, a.stillRunningOn = true, 3
+		obs.faults.add(Daemons, 1, interval{at(10.6), at(11)})
+		Expect(check(a)).To(ConsistOf(HavePrefix("gone")), "the daemon had 500 ms before the fault")
+		obs.faults.add(Daemons, 1, interval{at(10.2), at(11)})
+		Expect(check(a)).To(BeEmpty())
+	})
+
+	It("reads the stalls in the log of a daemon", func() {
+		stalls, err := readStalls(strings.NewReader(`{"msg":"daemon started","length":3}
+{"time":"2026-12-06T00:00:02.5Z","level":"WARN","msg":"process stalled","part":"edge","from":"2026-12-06T00:00:01.5Z","length":"740ms"}
+not JSON
+{"msg":"process sta`))
+		Expect(err).NotTo(HaveOccurred())
+		from := time.Date(2026, 12, 6, 0, 0, 1, 500_000_000, time.UTC)
+		Expect(stalls).To(Equal([]interval{{from, from.Add(740 * time.Millisecond)}}))
+	})
+
 	It("reports requests to draining upstreams by daemons connected to the store", func() {
 		obs.drains = []drain{{upstream: 7, at: at(7.9), replacedAt: at(10.2)}}
 		ran(7)
