edge: the timers that keep a promise together are added up

Change: internal/bounds has chains of links; directory, drain and gateway state theirs beside their constants, and edge.Settings.Promises puts them together: configuration, revoked keys, removed upstreams, resumed streams, stop. A test compares the sums with the bounds of the platform's settings files. A daemon whose settings leave too little time logs it with the timers, at its start and when they change. drain-ms and revoke-ms are read for that. docs/design.md 6.1 has the table.

platform/decode_test.go: two more fields are checked; nothing else changed there.

--- a/directory/timing.go
+++ b/directory/timing.go
@@ -1,6 +1,11 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/internal/bounds"
+	"github.com/gooseberryroad/gooseberryroad/registry"
+)
 
 // DefaultMaxStaleness is the bound on stale content where the settings name none.
 const DefaultMaxStaleness = 2 * time.Second
@@ -10,6 +15,9 @@
 	// wide. A slow store takes some hundred milliseconds.
 	maxConfirmInterval = 1500 * time.Millisecond
 	maxCallTimeout     = 700 * time.Millisecond
+	// storeAnswerTime is how long a store that works takes for a call that asks for no
+	// wait, also when it is slow.
+	storeAnswerTime = 200 * time.Millisecond
 )
 
 // timing holds the times that follow from the bound on stale content. A source that
@@ -47,3 +55,34 @@
 	// renewed is closed at the next confirmation.
 	renewed chan struct{}
 }
+
+// StalenessChain returns what follows on a change of the configuration, which includes
+// the keys of accounts, when the daemon that reads the store is cut off without a sign
+// right after a confirmation: its followers have to notice it and read the store
+// themselves. maxStaleness is the bound; 0 stands for DefaultMaxStaleness.
+func StalenessChain(promise string, maxStaleness time.Duration) bounds.Chain {
+	if maxStaleness <= 0 {
+		maxStaleness = DefaultMaxStaleness
+	}
+	t := newTiming(maxStaleness)
+	return bounds.Chain{Promise: promise, Bound: maxStaleness, Links: []bounds.Link{
+		{Name: "next confirmation", Longest: t.confirmInterval},
+		{Name: "call without answer", Longest: t.callTimeout},
+		{Name: "hops between daemons", Longest: t.maxAge - t.confirmInterval - t.callTimeout},
+		{Name: "own call", Longest: storeAnswerTime},
+	}}
+}
+
+// RemovalChain returns what follows on the removal of an upstream shortly after an outage
+// of the store, when its registration may only have expired: the daemons keep it for a
+// while and then have the store confirm that it is missing. bound is the time within
+// which a removed upstream must get no more requests.
+func RemovalChain(bound time.Duration) bounds.Chain {
+	return bounds.Chain{Promise: "removed upstreams", Bound: bound, Links: []bounds.Link{
+		{Name: "pause between watches", Longest: longWatchPause},
+		{Name: "grace", Longest: registry.RemovalGrace},
+		{Name: "margin", Longest: graceEndMargin},
+		{Name: "confirmation", Longest: storeAnswerTime},
+		{Name: "hop to followers", Longest: confirmationDelay},
+	}}
+}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -7,7 +7,11 @@
 //gooseberryroad:pure
 package drain
 
-import "time"
+import (
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/internal/bounds"
+)
 
 const (
 	// StreamAcceptPeriod is how long after the request to stop new streams are still
@@ -64,3 +68,12 @@
 	}
 	return streams == 0 || !now.Before(p.Deadline().Add(-closingPeriod))
 }
+
+// Chain returns what a stop does at least, one after the other, before the process is
+// killed at the end of the grace.
+func Chain(grace time.Duration) bounds.Chain {
+	return bounds.Chain{Promise: "stop", Bound: grace, Links: []bounds.Link{
+		{Name: "streams are accepted", Longest: StreamAcceptPeriod},
+		{Name: "connections are closed", Longest: killMargin},
+	}}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -123,6 +123,7 @@
 // retry budget. Changed addresses, names, data centres and bounds on stale content
 // take effect only when the process is restarted.
 func (e *Edge) Apply(s Settings) {
+	s.logBrokenPromises(telemetry.WithPart(e.o.Logger, "edge"))
 	e.grace.Store(int64(s.StopGrace))
 	e.gateway.SetRetryBudget(s.budget())
 }
@@ -175,6 +176,7 @@
 	go e.follower.Run(runCtx)
 	go e.sweep(runCtx)
 	go e.publish(runCtx)
+	s.logBrokenPromises(telemetry.WithPart(e.o.Logger, "edge"))
 	e.o.Logger.Info("daemon started", "part", "edge", "name", s.Name, "data_centre", s.DataCentre, "clients", e.ClientAddress())
 	return nil
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -35,6 +35,10 @@
 	// MaxStaleness is the time within which a change that the store has accepted is in
 	// force; 0 stands for directory.DefaultMaxStaleness.
 	MaxStaleness time.Duration
+	// MaxRevocationTime is the time within which a key that was removed from the
+	// configuration must be refused, and MaxDrainTime that after which an upstream that
+	// was removed must get no more requests; 0 is unknown.
+	MaxRevocationTime, MaxDrainTime time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the options of the fleet's retry
 	// budget.
 	RetryRatio  float64
@@ -56,7 +60,8 @@
 		return eris.New("settings: the addresses for clients and for readiness checks are required")
 	case s.StoreAddress == "":
 		return eris.New("settings: the store's address is required")
-	case s.StopGrace < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.MaxStaleness < 0:
+	case s.StopGrace < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.MaxStaleness < 0 ||
+		s.MaxRevocationTime < 0 || s.MaxDrainTime < 0:
 		return eris.New("settings: times and ratios cannot be negative")
 	}
 	return nil
--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/gooseberryroad/gooseberryroad/failover"
+	"github.com/gooseberryroad/gooseberryroad/internal/bounds"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
@@ -110,6 +112,19 @@
 	stopRetryPause = 50 * time.Millisecond
 )
 
+// ResumeChain returns what follows on the silence of an engine that runs a stream, does not
+// report its runs and cannot be reached to stop it, until the stream is sent to the next
+// engine; dialTimeout is that of the connections to engines. The engine's time to the next
+// event comes in addition. An engine that is down is noticed far sooner, by its probe.
+func ResumeChain(o failover.Options, dialTimeout time.Duration) bounds.Chain {
+	return bounds.Chain{Promise: "resumed streams", Bound: maxContinueWait, Links: []bounds.Link{
+		{Name: "silence", Longest: o.GapTimeout},
+		{Name: "stop of the run", Longest: stopTimeout},
+		{Name: "load query", Longest: loadQueryTimeout},
+		{Name: "connection", Longest: dialTimeout},
+	}}
+}
+
 // stopRun stops a run at an engine that can be reached although the run's connection is
 // dead: closing the connection would not stop it, and the run would go on beside the next
 // one. It reports whether the run was stopped and its memory kept, and sets where the
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -12,12 +12,12 @@
 // within about two seconds, and that one which is still missing then is gone.
 const ReregisterGrace = 2 * time.Second
 
-// removalGrace is how long an upstream is used whose entry was removed after the
+// RemovalGrace is how long an upstream is used whose entry was removed after the
 // store had become available again: its lease may have run out before it could
 // renew it, which live upstreams do about every 1.2 seconds. It leaves the rest of
 // the 2 seconds in which a removed upstream still serves for the removal to take
 // effect.
-const removalGrace = 1200 * time.Millisecond
+const RemovalGrace = 1200 * time.Millisecond
 
 // Instance is one run of an upstream's process.
 type Instance struct {
@@ -40,7 +40,7 @@
 	// lapsed is set for an entry that vanished during an outage of the store or
 	// shortly after it.
 	lapsed bool
-	// usedUntil is the end of removalGrace; it is zero for an entry that vanished
+	// usedUntil is the end of RemovalGrace; it is zero for an entry that vanished
 	// during the outage, which is used until the end of the grace period.
 	usedUntil time.Time
 }
@@ -129,11 +129,11 @@
 }
 
 // RemoveAfterOutage records that an entry was removed at a time when the store was
-// available again. During the grace period it is kept as lapsed for removalGrace.
+// available again. During the grace period it is kept as lapsed for RemovalGrace.
 func (r *Registry) RemoveAfterOutage(id string, now time.Time) {
 	r.Remove(id, now)
 	if e := r.entries[id]; e != nil && e.lapsed && e.usedUntil.IsZero() {
-		e.usedUntil = now.Add(removalGrace)
+		e.usedUntil = now.Add(RemovalGrace)
 	}
 }
 
