cli: the runtime's memory limit leaves room for the program itself

Cause: the runtime's limit was 80% of memory-mb, and 30 MB of the program's file are resident beside it (RssFile 29.9 MB), which the runtime does not count. Below 150 MB the two are more than the process may use: at 112 MB, which daemons of the users' deployments have, 120 MB.

Change: the limit leaves at least 40 MB, at most 80% and at least half of memory-mb.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -26,11 +26,6 @@
 // change, because it may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// heapShare is the part of the process's memory at which the runtime collects garbage as
-// often as it must. The rest is for what the runtime does not count, and for the garbage of
-// a burst.
-const heapShare = 0.8
-
 func init() { register(gatewayCommand) }
 
 func gatewayCommand(app *kingpin.Application) map[string]func(env) error {
@@ -66,7 +61,7 @@
 	defer out.Close()
 	logger := slog.New(telemetry.NewJSONHandler(out))
 	if os.Getenv("GOMEMLIMIT") == "" {
-		limitMemory(s.MemoryMB)
+		debug.SetMemoryLimit(runtimeMemoryLimit(s.MemoryMB))
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -105,14 +100,6 @@
 	return d.Stop(ctx)
 }
 
-// limitMemory makes the runtime stay below the memory that the process may use; 0 is
-// unknown.
-func limitMemory(megabytes int) {
-	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(megabytes<<20)))
-	}
-}
-
 // modTime returns the modification time of a file, zero when it cannot be read.
 func modTime(path string) time.Time {
 	info, err := os.Stat(path)
