soak: bursts of bodies in chunks, and a move after a reverted one

- bodies: 40 orders with 2 MiB each, without a length, reach a daemon at once, twice what it may hold of bodies.
The soak samples the memory of its process each 20 ms from outside and judges the orders as all others.
Refusals during a burst are allowed.
- move-again: a version that fails is reverted, stays registered, and a move to another version follows.
Requests that daemons connected to the store send to the reverted version later than 2 s after the second order are reported.

The configuration of the soak allows bodies of 2 MiB (100 KB elsewhere in the tests, as before).

--- a/soak/act.go
+++ b/soak/act.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +52,10 @@
 		end()
 		recordFault(f.Component, f.Target)
 	case Daemons:
+		if f.Kind == BurstBodies {
+			s.sendBurst(ctx, f.Target)
+			return
+		}
 		s.injectDaemonFaults(ctx, f, f.Target)
 	case StoreServer:
 		if f.Kind == ExpireRegistrations {
@@ -77,8 +79,8 @@
 			s.rotateKey()
 		case SendPoisonRequest:
 			s.sendPoisonRequest(ctx)
-		case MoveGood, MoveBad:
-			s.runMove(ctx, f.Kind == MoveBad)
+		case MoveGood, MoveBad, MoveAfterRevert:
+			s.runMoves(ctx, f.Kind)
 		case KillAll:
 			all := make([]int, len(s.daemons))
 			for i := range all {
@@ -120,44 +122,6 @@
 	}
 }
 
-// runMove orders a move of plain requests to another version, waits until it is
-// completed or reverted, but at most for the sum of moveDuration and moveExtraWait,
-// and deletes the order. It does nothing while another move runs.
-func (s *Soak) runMove(ctx context.Context, bad bool) {
-	if !s.moveMu.TryLock() {
-		return
-	}
-	defer s.moveMu.Unlock()
-	s.moves++
-	m := move{bad: bad, version: fmt.Sprint("next-", s.moves), from: time.Now()}
-	for _, u := range s.moveTargets {
-		u.Set(func(b *platformtest.Behaviour) {
-			b.Status = 0
-			if bad {
-				b.Status = http.StatusInternalServerError
-			}
-		})
-		s.store.RegisterVersion(u.Replica, m.version, u.link.address(), u.service, u.zone, "ready")
-	}
-	s.store.Move("tags", m.version, moveDuration)
-	for time.Since(m.from) < moveDuration+moveExtraWait {
-		if m.state = s.store.MoveState("tags", m.version); m.state != "" && m.state != "running" {
-			break
-		}
-		if !pause.For(ctx, pollInterval) {
-			break
-		}
-	}
-	m.to = time.Now()
-	s.store.EndMove("tags")
-	for _, u := range s.moveTargets {
-		s.store.Unregister(u.ID())
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.observed.moves = append(s.observed.moves, m)
-}
-
 // injectUpstreamFault injects one fault into an upstream or its link and returns
 // after its end. A crash or drain is skipped while another one lasts.
 func (s *Soak) injectUpstreamFault(ctx context.Context, f Fault) {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -35,6 +35,8 @@
 	client   *http.Client
 	sent     int
 	attempts []attempt
+	// chunkedBodies sends bodies in chunks, without their length.
+	chunkedBodies bool
 }
 
 func newCaller(s *Soak, number int) *caller {
@@ -71,8 +73,7 @@
 // event. It waits after an answer that was cut, because the daemon may be down.
 func (c *caller) sendAndResume(ctx context.Context, call platformtest.Call, abandonAfter time.Duration) {
 	for range maxStreamAttempts {
-		c.sent++
-		call.ID = fmt.Sprintf("c%d-%d", c.number, c.sent)
+		call.ID = c.nextID()
 		a := c.sendOnce(ctx, call, c.random.IntN(len(c.s.daemons)), abandonAfter)
 		if a == nil {
 			return
@@ -88,6 +89,12 @@
 	}
 }
 
+// nextID returns the ID of the caller's next attempt.
+func (c *caller) nextID() string {
+	c.sent++
+	return fmt.Sprintf("c%d-%d", c.number, c.sent)
+}
+
 // sendOnce sends one attempt. It returns nil when no connection to the daemon could
 // be made. abandonAfter is when the caller gives up; 0 for not before its timeout.
 func (c *caller) sendOnce(ctx context.Context, call platformtest.Call, daemon int, abandonAfter time.Duration) *attempt {
@@ -110,6 +117,9 @@
 	// With GetBody set, the transport would send the request again over a new
 	// connection by itself.
 	r.GetBody = nil
+	if c.chunkedBodies {
+		r.ContentLength = -1
+	}
 	a.sent = time.Now()
 	res, err := c.client.Do(r)
 	if err == nil {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -49,7 +49,8 @@
 	// violations describe exits that were not requested and stops that outlasted
 	// their grace.
 	violations []string
-	// peakMB is the largest resident memory in MiB, sampled at each signal.
+	// peakMB is the largest resident memory in MiB, sampled at each signal and during
+	// bursts of long bodies.
 	peakMB int
 }
 
@@ -108,15 +109,22 @@
 	if d.cmd == nil {
 		return nil
 	}
-	if rss := residentMB(d.cmd.Process.Pid); rss > d.peakMB {
-		d.peakMB = rss
-	}
+	d.peakMB = max(d.peakMB, residentMB(d.cmd.Process.Pid))
 	d.stopRequested = d.stopRequested || terminates
 	// The error is ignored: the process may have ended, and wait records how.
 	_ = d.cmd.Process.Signal(s)
 	return d.exited
 }
 
+// sampleMemory records the resident memory of the running process.
+func (d *daemon) sampleMemory() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		d.peakMB = max(d.peakMB, residentMB(d.cmd.Process.Pid))
+	}
+}
+
 // kill sends SIGKILL and waits for the end of the process.
 func (d *daemon) kill() {
 	if exited := d.signal(syscall.SIGKILL, true); exited != nil {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -136,6 +136,9 @@
 	from, to time.Time
 	// state is the last state that the daemons reported.
 	state string
+	// reverted is a move that was reverted before this one and whose upstreams were
+	// still registered.
+	reverted *move
 }
 
 // observations holds what was observed in one soak.
@@ -148,6 +151,9 @@
 	faults         faultIntervals
 	// stalls are times in which the soak's own process did not run.
 	stalls []interval
+	// bursts are the bursts of long bodies that daemons got. A daemon may refuse
+	// requests in one.
+	bursts faultIntervals
 	// plannedStops are the planned stops of daemons, from SIGTERM until the daemon
 	// was ready again or its start had timed out.
 	plannedStops faultIntervals
@@ -270,8 +276,8 @@
 	return 4*a.concurrent <= 3*slots
 }
 
-// upstreamsAvailable reports whether no fault affected any upstream during an attempt
-// and its daemon had run for maxRecoveryTime, long enough to know them all. The store
+// upstreamsAvailable reports whether no fault affected any upstream during an attempt,
+// no burst used up its daemon's memory, and its daemon had run for maxRecoveryTime, long enough to know them all. The store
 // may be down.
 func (obs *observations) upstreamsAvailable(a attempt) bool {
 	for _, intervals := range []faultIntervals{obs.faults, obs.plannedStops} {
@@ -281,7 +287,8 @@
 			}
 		}
 	}
-	if obs.faults.countAffectedUpstreams(obs.engines+obs.plainReplicas, a.sent, a.ended) > 0 {
+	if obs.faults.countAffectedUpstreams(obs.engines+obs.plainReplicas, a.sent, a.ended) > 0 ||
+		!obs.bursts.unaffected(Daemons, a.daemon, a.sent, a.ended) {
 		return false
 	}
 	for _, d := range obs.drains {
@@ -324,9 +331,38 @@
 	case m.bad && float64(exposed) > exposureShare*float64(sent)+exposureSlack:
 		return fmt.Sprintf("%d of %d requests ran on a version that fails", exposed, sent)
 	}
+	if returned := obs.countRunsOnReverted(m); returned > 0 {
+		return fmt.Sprintf("%d requests ran on %s, which had been reverted", returned, m.reverted.version)
+	}
 	return ""
 }
 
+// countRunsOnReverted counts the requests that daemons connected to the store sent to the
+// upstreams of a version that had been reverted, during the next move.
+func (obs *observations) countRunsOnReverted(m move) int {
+	if m.reverted == nil {
+		return 0
+	}
+	daemons := map[string]int{}
+	for _, a := range obs.attempts {
+		daemons[a.ID] = a.daemon
+	}
+	count := 0
+	for _, r := range obs.runs {
+		first := obs.engines + obs.plainReplicas
+		onReverted := r.upstream >= first && r.upstream < first+obs.plainReplicas
+		if !onReverted || r.at.Before(m.from.Add(maxDrainDelay)) || r.at.After(m.to) {
+			continue
+		}
+		d, known := daemons[r.id]
+		if known && obs.faults.unaffected(Daemons, d, m.reverted.from, r.at) && obs.faults.unaffected(StoreLinks, d, m.reverted.from, r.at) &&
+			obs.plannedStops.unaffected(Daemons, d, m.reverted.from, r.at) {
+			count++
+		}
+	}
+	return count
+}
+
 // notRun reports whether a status promises that a request has not run.
 func notRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -33,6 +33,8 @@
 	CrashDataCentre     FaultKind = "crash-zone" // all upstreams of a data centre crash at once
 	MoveGood            FaultKind = "move-good"  // the operator moves a service to a version that works
 	MoveBad             FaultKind = "move-bad"   // the operator moves a service to a version that fails
+	MoveAfterRevert     FaultKind = "move-again" // a version that fails is reverted and stays registered during the next move
+	BurstBodies         FaultKind = "bodies"     // a daemon gets long bodies without a length, more than its memory holds
 	ExpireRegistrations FaultKind = "lapse"      // the store refuses calls, and the upstreams' registrations expire
 	SendPoisonRequest   FaultKind = "crash-each" // a poison request, which crashes each upstream that runs it, is sent repeatedly
 )
@@ -78,6 +80,7 @@
 	{{WholeSystem, MoveGood}, {WholeSystem, MoveGood}, {WholeSystem, MoveBad}, {WholeSystem, MoveBad}},
 	{{WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}},
 	{{Upstreams, SilenceOpen}, {Upstreams, SilenceOpen}, {PeerLinks, SilenceOpen}, {StoreLinks, SilenceOpen}},
+	{{WholeSystem, MoveAfterRevert}, {WholeSystem, MoveAfterRevert}, {Daemons, BurstBodies}, {Daemons, BurstBodies}},
 }
 
 // Fault is one fault of a plan.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -128,9 +129,10 @@
 	storeLinks, clientLinks, peerLinks []*link
 	upstreams                          []*upstream
 	// moveTargets are the upstreams of the version to which plain requests are moved.
-	// No other fault acts on them.
-	moveTargets []*upstream
-	daemons     []*daemon
+	// No other fault acts on them. laterTargets are those of a version to which the
+	// requests are moved while the version of moveTargets is still registered.
+	moveTargets, laterTargets []*upstream
+	daemons                   []*daemon
 	// daemonMu holds, by the daemon's number, a lock that is held while a fault acts
 	// on the daemon.
 	daemonMu []sync.Mutex
@@ -143,6 +145,9 @@
 	poisonMu       sync.Mutex
 	poisonRequests int
 
+	// bursts counts the bursts of long bodies.
+	bursts atomic.Int64
+
 	mu             sync.Mutex
 	faultErr       error
 	observed       observations
@@ -158,7 +163,7 @@
 		return Outcome{}, eris.Wrap(err, "create the directory for logs")
 	}
 	s := &Soak{options: o, seed: seed, logDir: dir, store: platformtest.NewStore(), daemonMu: make([]sync.Mutex, o.Daemons)}
-	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
+	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
 	defer s.close()
 	if err := s.build(p); err != nil {
 		return Outcome{}, err
@@ -185,12 +190,14 @@
 		s.upstreams = append(s.upstreams, u)
 		s.register(u, "ready")
 	}
-	for i := range s.options.PlainReplicas {
-		u, err := newUpstream(len(s.upstreams)+i, "tags")
-		if err != nil {
-			return err
+	for _, targets := range []*[]*upstream{&s.moveTargets, &s.laterTargets} {
+		for range s.options.PlainReplicas {
+			u, err := newUpstream(len(s.upstreams)+len(s.moveTargets)+len(s.laterTargets), "tags")
+			if err != nil {
+				return err
+			}
+			*targets = append(*targets, u)
 		}
-		s.moveTargets = append(s.moveTargets, u)
 	}
 	s.rotateKey()
 	for i := range s.options.Daemons {
@@ -279,7 +286,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configVersion++
-	s.store.Configure(s.configVersion, permanentKey, s.accountKey(0))
+	s.store.ConfigureBodies(burstBodyBytes, s.configVersion, permanentKey, s.accountKey(0))
 }
 
 // accountKey returns the rotated key of the configuration that is versionsAgo
@@ -288,9 +295,14 @@
 	return fmt.Sprintf("v%d", s.configVersion-versionsAgo)
 }
 
+// allUpstreams returns the upstreams in the order of their numbers.
+func (s *Soak) allUpstreams() []*upstream {
+	return slices.Concat(s.upstreams, s.moveTargets, s.laterTargets)
+}
+
 // upstreamRunning returns the number of an upstream that runs an attempt; -1 for none.
 func (s *Soak) upstreamRunning(id string) int {
-	for i, u := range slices.Concat(s.upstreams, s.moveTargets) {
+	for i, u := range s.allUpstreams() {
 		if u.IsRunning(id) {
 			return i
 		}
@@ -344,7 +356,7 @@
 	for _, c := range callers {
 		s.observed.attempts = append(s.observed.attempts, c.attempts...)
 	}
-	for i, u := range slices.Concat(s.upstreams, s.moveTargets) {
+	for i, u := range s.allUpstreams() {
 		for _, received := range u.ReceivedRequests() {
 			if id := received.ID(); id[0] == 'c' { // skips the requests of the recovery check and the poison requests
 				s.observed.runs = append(s.observed.runs, run{id: id, upstream: i, at: received.At})
@@ -477,7 +489,7 @@
 		// The process has ended, so the log is complete.
 		_ = d.log.Close()
 	}
-	for _, u := range slices.Concat(s.upstreams, s.moveTargets) {
+	for _, u := range s.allUpstreams() {
 		u.Crash()
 		u.link.close()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -84,7 +84,7 @@
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	var obs *observations
 	BeforeEach(func() {
-		obs = &observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, engines: 6, plainReplicas: 4, daemons: 2, grace: 5 * time.Second}
+		obs = &observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, engines: 6, plainReplicas: 4, daemons: 2, grace: 5 * time.Second}
 	})
 	request := func(kind platformtest.Kind) attempt {
 		return attempt{
@@ -191,6 +191,30 @@
 		Expect(obs.check()).To(BeEmpty())
 	})
 
+	It("reports a reverted version that gets requests during the next move", func() {
+		reverted := move{bad: true, version: "next-1", from: at(5), to: at(8), state: "reverted"}
+		m := move{version: "next-2", from: at(8), to: at(12), state: "completed", reverted: &reverted}
+		obs.moves = []move{m}
+		a := request(platformtest.LookUp)
+		obs.runs = []run{{id: "c1", upstream: 10, at: at(10.05)}}
+		Expect(check(a)).To(ConsistOf(ContainSubstring("1 requests ran on next-1")))
+		obs.faults.add(StoreLinks, 1, interval{at(6), at(7)})
+		Expect(check(a)).To(BeEmpty(), "the daemon may not have learnt of the verdict")
+		obs.faults = faultIntervals{}
+		obs.runs[0].upstream = 14
+		Expect(check(a)).To(BeEmpty(), "it ran on the version of the second move")
+		obs.runs[0] = run{id: "c1", upstream: 10, at: at(9.9)}
+		Expect(check(a)).To(BeEmpty(), "daemons need 2 s to learn of the verdict")
+	})
+
+	It("allows refusals during a burst of long bodies", func() {
+		a := request(platformtest.LookUp)
+		a.status = http.StatusServiceUnavailable
+		Expect(check(a)).To(ConsistOf(HavePrefix("unserved")))
+		obs.bursts.add(Daemons, 1, interval{at(9), at(9.5)})
+		Expect(check(a)).To(BeEmpty())
+	})
+
 	It("reports answers that are not the request's own, even at a daemon with a fault", func() {
 		obs.faults.add(Daemons, 1, interval{at(9), at(12)})
 		a := request(platformtest.Stream)
--- a/soak/stall.go
+++ b/soak/stall.go
@@ -83,8 +83,8 @@
 				obs.faults.add(c, i, iv)
 			}
 		}
-		// The targets of moves are numbered after the plain replicas.
-		for i := range obs.engines + 2*obs.plainReplicas {
+		// The two sets of targets of moves are numbered after the plain replicas.
+		for i := range obs.engines + 3*obs.plainReplicas {
 			obs.faults.add(Upstreams, i, iv)
 		}
 	}
