soak: upstreams that say in their answers that they leave, or ask for a pause

New faults, again in a list of their own:

- announce: an upstream says in all its answers that it leaves, while its registration does not, and stops at least 2 s later.
Requests that a daemon sends it more than 2 s after it has passed on such an answer are reported, also while the daemon is cut off from the store.
- ask-pause: an upstream turns requests away and asks for a pause of 1 s.
More than two requests of a daemon in the rest of a pause are reported; what arrives in the first 0.1 s was under way.

--- a/soak/act.go
+++ b/soak/act.go
@@ -126,7 +126,11 @@
 // after its end. A crash or drain is skipped while another one lasts.
 func (s *Soak) injectUpstreamFault(ctx context.Context, f Fault) {
 	u := s.upstreams[f.Target]
-	if f.Kind != Crash && f.Kind != Drain {
+	if f.Kind == AskPause {
+		s.askForPause(ctx, f)
+		return
+	}
+	if f.Kind != Crash && f.Kind != Drain && f.Kind != Announce {
 		began := time.Now()
 		end := u.link.fault(f.Kind)
 		pause.For(ctx, f.Length)
@@ -141,10 +145,17 @@
 	}
 	defer u.processMu.Unlock()
 	drainStart := time.Time{}
-	if f.Kind == Drain {
-		s.register(u, "draining")
+	if f.Kind == Drain || f.Kind == Announce {
+		atLeast := f.Length
+		if f.Kind == Drain {
+			s.register(u, "draining")
+		} else {
+			u.Set(func(b *platformtest.Behaviour) { b.Leaving = true })
+			// It stays for a time in which it must not get requests any more.
+			atLeast += maxDrainDelay
+		}
 		drainStart = time.Now()
-		for time.Since(drainStart) < upstreamDrainTimeout && (time.Since(drainStart) < f.Length || u.RunningRequests() > 0) && pause.For(ctx, pollInterval) {
+		for time.Since(drainStart) < upstreamDrainTimeout && (time.Since(drainStart) < atLeast || u.RunningRequests() > 0) && pause.For(ctx, pollInterval) {
 		}
 		s.store.Unregister(u.ID())
 	}
@@ -157,7 +168,7 @@
 	}
 	u.starts++
 	old := u.ID()
-	u.Set(func(b *platformtest.Behaviour) { b.ID, b.StartedMs = u.id(), time.Now().UnixMilli() })
+	u.Set(func(b *platformtest.Behaviour) { b.ID, b.StartedMs, b.Leaving = u.id(), time.Now().UnixMilli(), false })
 	if err := u.Start(); err != nil {
 		s.recordError(err)
 		return
@@ -167,8 +178,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.observed.faults.add(Upstreams, f.Target, interval{began, time.Now()})
-	if f.Kind == Drain {
-		s.observed.drains = append(s.observed.drains, drain{upstream: f.Target, at: drainStart, replacedAt: time.Now()})
+	switch d := (drain{upstream: f.Target, at: drainStart, replacedAt: time.Now()}); f.Kind {
+	case Drain:
+		s.observed.drains = append(s.observed.drains, d)
+	case Announce:
+		s.observed.announcements = append(s.observed.announcements, d)
 	}
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -143,9 +143,12 @@
 
 // observations holds what was observed in one soak.
 type observations struct {
-	attempts       []attempt
-	runs           []run
-	drains         []drain
+	attempts []attempt
+	runs     []run
+	drains   []drain
+	// announcements are those that upstreams made in their answers alone.
+	announcements  []drain
+	turnedAway     []turnedAway
 	moves          []move
 	poisonRequests []poisonRequest
 	faults         faultIntervals
@@ -185,6 +188,8 @@
 			out = append(out, fmt.Sprintf("move: %s, ordered %s: %s", m.version, m.from.Format("15:04:05.000"), violation))
 		}
 	}
+	out = append(out, obs.checkPauses()...)
+	out = append(out, obs.checkAnnouncements()...)
 	for _, p := range obs.poisonRequests {
 		if violation := obs.checkPoisonRequest(p); violation != "" {
 			out = append(out, fmt.Sprintf("crashes: %q, first sent %s: %s", p.body, p.from.Format("15:04:05.000"), violation))
@@ -291,7 +296,7 @@
 		!obs.bursts.unaffected(Daemons, a.daemon, a.sent, a.ended) {
 		return false
 	}
-	for _, d := range obs.drains {
+	for _, d := range slices.Concat(obs.drains, obs.announcements) {
 		if d.at.Before(a.ended) && a.sent.Before(d.replacedAt.Add(settleTime)) {
 			return false
 		}
@@ -343,10 +348,7 @@
 	if m.reverted == nil {
 		return 0
 	}
-	daemons := map[string]int{}
-	for _, a := range obs.attempts {
-		daemons[a.ID] = a.daemon
-	}
+	daemons := obs.daemonsByAttempt()
 	count := 0
 	for _, r := range obs.runs {
 		first := obs.engines + obs.plainReplicas
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -16,6 +16,8 @@
 const (
 	Crash               FaultKind = "crash"      // an upstream crashes and starts again under a new ID
 	Drain               FaultKind = "leave"      // an upstream registers as draining and stops later
+	Announce            FaultKind = "announce"   // an upstream says in its answers that it leaves, and stops later
+	AskPause            FaultKind = "ask-pause"  // an upstream turns requests away and asks for a pause
 	Reset               FaultKind = "reset"      // all connections of a link are reset
 	Delay               FaultKind = "delay"      // a link forwards bytes late
 	DropToServer        FaultKind = "cut-forth"  // bytes towards the server are dropped
@@ -81,6 +83,7 @@
 	{{WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}, {WholeSystem, SendPoisonRequest}},
 	{{Upstreams, SilenceOpen}, {Upstreams, SilenceOpen}, {PeerLinks, SilenceOpen}, {StoreLinks, SilenceOpen}},
 	{{WholeSystem, MoveAfterRevert}, {WholeSystem, MoveAfterRevert}, {Daemons, BurstBodies}, {Daemons, BurstBodies}},
+	{{Upstreams, Announce}, {Upstreams, Announce}, {Upstreams, AskPause}, {Upstreams, AskPause}},
 }
 
 // Fault is one fault of a plan.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -364,6 +364,7 @@
 		}
 	}
 	s.recordPoisonCrashes()
+	s.recordTurnedAway()
 	stalls, err := s.addDaemonStalls()
 	if err != nil {
 		return Outcome{}, err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -316,6 +316,33 @@
 		Expect(stalls).To(Equal([]interval{{from, from.Add(740 * time.Millisecond)}}))
 	})
 
+	It("reports daemons that go on sending requests in a pause that an upstream asked for", func() {
+		obs.attempts = []attempt{request(platformtest.Stream)}
+		for _, t := range []float64{10, 10.05, 10.08, 10.3, 10.9, 11.01, 11.2} {
+			obs.turnedAway = append(obs.turnedAway, turnedAway{"c1", 2, at(t)})
+		}
+		Expect(obs.checkPauses()).To(BeEmpty(), "two in the rest of the first pause, one in the second")
+		obs.turnedAway = append(obs.turnedAway, turnedAway{"c1", 2, at(10.5)})
+		Expect(obs.checkPauses()).To(ConsistOf(ContainSubstring("sent 3 requests to upstream 2")))
+		obs.plannedStops.add(Daemons, 1, interval{at(10.2), at(10.4)})
+		Expect(obs.checkPauses()).To(BeEmpty(), "the daemon has forgotten the pause")
+	})
+
+	It("reports requests to upstreams that had said that they leave, also by a daemon without the store", func() {
+		obs.announcements = []drain{{upstream: 7, at: at(9), replacedAt: at(14)}}
+		heard, late := request(platformtest.Order), request(platformtest.Order)
+		late.ID, late.sent, late.ended = "c2", at(12), at(12.2)
+		obs.attempts = []attempt{heard, late}
+		ran(7)
+		obs.runs = append(obs.runs, run{id: "c2", upstream: 7, at: at(12.05)})
+		Expect(obs.checkAnnouncements()).To(BeEmpty(), "1.95 s after the word")
+		obs.runs[1].at = at(12.15)
+		obs.faults.add(StoreLinks, 1, interval{at(10), at(12)})
+		Expect(obs.checkAnnouncements()).To(ConsistOf(HavePrefix("leaving: c2 of daemon 1 reached upstream 7")))
+		obs.faults.add(Daemons, 1, interval{at(11), at(11.5)})
+		Expect(obs.checkAnnouncements()).To(BeEmpty(), "the daemon has forgotten the word")
+	})
+
 	It("reports requests to draining upstreams by daemons connected to the store", func() {
 		obs.drains = []drain{{upstream: 7, at: at(7.9), replacedAt: at(10.2)}}
 		ran(7)
