--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -32,6 +32,9 @@
 	// moveExtraWait how much longer the soak waits for its end.
 	moveDuration  = 4 * time.Second
 	moveExtraWait = 2 * time.Second
+	// maxVerdictDelay is the time after which a daemon connected to the store knows that
+	// a version was reverted and that another move was ordered.
+	maxVerdictDelay = time.Second
 	// exposureShare and exposureSlack bound the requests that run on a version that
 	// fails: at most this share of the requests during the move plus the slack, as on
 	// the users' sites.
@@ -353,7 +356,7 @@
 	for _, r := range obs.runs {
 		first := obs.engines + obs.plainReplicas
 		onReverted := r.upstream >= first && r.upstream < first+obs.plainReplicas
-		if !onReverted || r.at.Before(m.from.Add(maxDrainDelay)) || r.at.After(m.to) {
+		if !onReverted || r.at.Before(m.from.Add(maxVerdictDelay)) || r.at.After(m.to) {
 			continue
 		}
 		d, known := daemons[r.id]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -203,8 +203,8 @@
 		obs.faults = faultIntervals{}
 		obs.runs[0].upstream = 14
 		Expect(check(a)).To(BeEmpty(), "it ran on the version of the second move")
-		obs.runs[0] = run{id: "c1", upstream: 10, at: at(9.9)}
-		Expect(check(a)).To(BeEmpty(), "daemons need 2 s to learn of the verdict")
+		obs.runs[0] = run{id: "c1", upstream: 10, at: at(8.9)}
+		Expect(check(a)).To(BeEmpty(), "daemons need 1 s to learn of the verdict")
 	})
 
 	It("allows refusals during a burst of long bodies", func() {
