plain: upstreams that leave or ask for a pause are heard in their replies

A reply with X-Upstream-Leaving: 1 keeps calls away for 30 s, a 503 with Retry-After (seconds with a fraction, or a date) for that time, at most 30 s, and lets two calls at once through after it. placement.Tracker, which decides the same for the gateway, owns the pauses; an upstream at another address inherits nothing. While all upstreams of a service are withdrawn, a call is refused at once with upstreams_paused, not_run and the soonest end of a pause; an answer that is already recorded for a key is given as before. standin says both.

Not covered: engines of the own interface, whose Retry-After delays only the request that got it, and the run of 30 s against standin with restarts that the issue describes.

--- a/plain/forward.go
+++ b/plain/forward.go
@@ -83,7 +83,12 @@
 		attribute.String("upstream", u.Name), attribute.String("version", u.Version), attribute.Int("attempt", n)))
 	defer span.End()
 	start := h.opts.Clock.Now()
+	h.notices.begin(u)
 	rep, aerr := h.send(ctx, c, u)
+	if aerr == nil {
+		h.noteReply(c, u, rep)
+	}
+	h.notices.end(u, aerr == nil && rep.status != http.StatusServiceUnavailable)
 	res := Result{Service: c.view.Doc.Name, Route: c.route.Name, Version: u.Version, Upstream: u.Name, ContentHash: c.contentHash,
 		At: start, Duration: h.opts.Clock.Now().Sub(start)}
 	result := "reply"
@@ -233,7 +238,10 @@
 		h.sendReply(w, c, rep)
 		return
 	}
+	retryAfter, withdrawn := h.allWithdrawn(c)
 	switch {
+	case withdrawn && outcome == refusal.NotRun && h.opts.Clock.Now().Before(c.deadline) && ctx.Err() == nil:
+		h.refuse(w, span, c, refusalWhileWithdrawn(retryAfter))
 	case lastErr == nil && len(tried) == 0 && h.opts.Clock.Now().Before(c.deadline) && ctx.Err() == nil:
 		h.refuse(w, span, c, refusal.Refusal{Status: http.StatusServiceUnavailable, Code: codeNoUpstream,
 			Message: errNoUpstream.Error(), Outcome: outcome, RetryAfter: time.Second})
--- a/plain/handler.go
+++ b/plain/handler.go
@@ -71,6 +71,7 @@
 	mu            sync.Mutex // guards rnd
 	rnd           *rand.Rand
 	recorder      outcomeRecorder
+	notices       *notices
 	// refusingNew is set once new calls are refused.
 	refusingNew atomic.Bool
 }
@@ -121,6 +122,8 @@
 		opts:   o,
 		tracer: o.Tracer.Tracer("gooseberryroad/plain"),
 		rnd:    rand.New(rand.NewPCG(o.Seed, 0x706c61696e)),
+		// A source of its own, because it has a lock of its own.
+		notices: newNotices(rand.New(rand.NewPCG(o.Seed, 0x6e6f7465))),
 	}
 	h.recorder.init(h)
 	return h
--- a/plain/once.go
+++ b/plain/once.go
@@ -183,6 +183,10 @@
 }
 
 func (h *Handler) refuseClaim(w http.ResponseWriter, span trace.Span, c *call, a claim.Refuse) {
+	if retryAfter, withdrawn := h.allWithdrawn(c); withdrawn && a.Code == claim.CodeUpstreamUnreachable {
+		h.refuse(w, span, c, refusalWhileWithdrawn(retryAfter))
+		return
+	}
 	text := claimRefusals[a.Code]
 	message := text.message
 	if a.Code == claim.CodeStoreUnreachable && a.RunStatus == claim.NotRun {
--- a/plain/pick.go
+++ b/plain/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/gooseberryroad/gooseberryroad/node"
+	"github.com/gooseberryroad/gooseberryroad/placement"
 )
 
 // random returns a number in [0, 1).
@@ -17,9 +18,11 @@
 // pick chooses an upstream that has not been tried, or returns nil. It chooses a
 // version at random by its share of the traffic, then a random upstream of it.
 // Silent upstreams are chosen only if there is no alive or unknown one; leaving
-// and dead ones are never chosen.
+// and dead ones, and those that asked for a pause, are never chosen.
 func (h *Handler) pick(c *call, tried map[string]bool) *node.UpstreamView {
 	view := h.currentView(c)
+	now := h.opts.Clock.Now()
+	h.notices.retain(h.opts.Snapshot(), now)
 	for _, states := range [][]node.UpstreamState{
 		{node.UpstreamAlive, node.UpstreamUnknown}, {node.UpstreamSilent},
 	} {
@@ -31,6 +34,9 @@
 			if tried[u.Name] || !slices.Contains(states, u.State) || !usable(view, u) || c.trialUpstream != "" && c.trialUpstream != u.Name {
 				continue
 			}
+			if reason, _ := h.notices.withdrawn(u, now); reason != placement.NoNotice {
+				continue
+			}
 			share := trafficShare(view, u.Version)
 			if byVersion[u.Version] == nil {
 				versions = append(versions, u.Version)
--- a/plain/plain_test.go
+++ b/plain/plain_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -552,6 +553,37 @@
 		Expect(sum).To(Equal(int64(2)))
 	}, Entry("429", 429), Entry("503", 503))
 
+	// Guards against calls to upstreams that asked for a pause or leave, and against callers
+	// that are not told when to come back.
+	It("keeps away from upstreams that ask for a pause or leave", func() {
+		says := atomic.Pointer[[2]string]{}
+		says.Store(&[2]string{"Retry-After", "20"})
+		turnedAway, away := newUpstream(func(w http.ResponseWriter, r *http.Request) {
+			header := says.Load()
+			w.Header().Set(header[0], header[1])
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		f := newFixture(nil, turnedAway)
+		Expect(f.mustCall("GET", "/services/shop/catalogue/1", "").status).To(Equal(503))
+		for range 3 {
+			a := f.mustCall("GET", "/services/shop/catalogue/1", "")
+			Expect([]any{a.status, a.code, a.outcome}).To(Equal([]any{503, "upstreams_paused", "not_run"}))
+			Expect(strconv.Atoi(a.header.Get("Retry-After"))).To(And(BeNumerically(">=", 19), BeNumerically("<=", 22)))
+		}
+		a := f.mustCall("POST", "/services/shop/orders", "order", "Idempotency-Key", "k1")
+		Expect([]any{a.status, a.code, a.outcome}).To(Equal([]any{503, "upstreams_paused", "not_run"}))
+		Expect(away.Load()).To(Equal(int64(1)))
+
+		leaving, calls := newUpstream(func(w http.ResponseWriter, r *http.Request) { w.Header().Set(plain.HeaderLeaving, "1") })
+		f = newFixture(nil, leaving)
+		a = f.mustCall("GET", "/services/shop/catalogue/1", "")
+		Expect(a.status).To(Equal(200))
+		Expect(a.header).NotTo(HaveKey(plain.HeaderLeaving))
+		a = f.mustCall("GET", "/services/shop/catalogue/1", "")
+		Expect([]any{a.status, a.code, a.outcome, a.header.Get("Retry-After")}).To(Equal([]any{503, "upstreams_paused", "not_run", "1"}))
+		Expect(calls.Load()).To(Equal(int64(1)))
+	})
+
 	DescribeTable("is refused with the true outcome when all attempts fail", func(reachable bool, outcome string) {
 		var a []string
 		for range 3 {
--- a/standin/service.go
+++ b/standin/service.go
@@ -57,6 +57,10 @@
 	CrashMarker string `json:"crash_marker,omitempty"`
 	// Leaving refuses calls with 503 and outcome not_run.
 	Leaving bool `json:"leaving,omitempty"`
+	// SayLeaving says in all answers that the service leaves, and still runs calls.
+	SayLeaving bool `json:"say_leaving,omitempty"`
+	// Pause refuses calls with 503 and asks for this pause; empty is none.
+	Pause string `json:"pause,omitempty"`
 }
 
 // Run counts how often one call ran.
@@ -279,6 +283,9 @@
 	}
 	f := s.nextCallFaults()
 	ctx := c.Request.Context()
+	if f.SayLeaving {
+		c.Header("X-Upstream-Leaving", "1")
+	}
 	switch {
 	case f.dieBefore || f.CrashMarker != "" && bytes.Contains(body, []byte(f.CrashMarker)):
 		s.die("fault: died before a call")
@@ -290,6 +297,10 @@
 		c.Header("Retry-After", "1")
 		refuse(c, http.StatusServiceUnavailable, "leaving", "not_run", "this service leaves")
 		return
+	case f.Pause != "":
+		c.Header("Retry-After", f.Pause)
+		refuse(c, http.StatusServiceUnavailable, "paused", "not_run", "this service wants a pause")
+		return
 	case f.Status != 0:
 		refuse(c, f.Status, "fault", "not_run", "told to fail")
 		return
--- a/standin/service_test.go
+++ b/standin/service_test.go
@@ -65,6 +65,20 @@
 		Expect(s.Runs().Repeated()).To(HaveLen(2))
 	})
 
+	// Guards against a stand-in that does not say what its faults name.
+	It("says in its answers that it leaves, and for how long it wants no calls", func() {
+		header := func() http.Header {
+			res, err := client.Get("http://" + s.Address() + "/tags")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Body.Close()).To(Succeed())
+			return res.Header
+		}
+		Expect(header()).NotTo(Or(HaveKey("X-Upstream-Leaving"), HaveKey("Retry-After")))
+		s.SetFaults(standin.ServiceFaults{SayLeaving: true, Pause: "1.5"})
+		Expect(header().Get("X-Upstream-Leaving")).To(Equal("1"))
+		Expect(header().Get("Retry-After")).To(Equal("1.5"))
+	})
+
 	DescribeTable("loses, refuses and fails calls before or after they run",
 		func(f standin.ServiceFaults, fails bool, status, runs int) {
 			s.SetFaults(f)
@@ -78,6 +92,8 @@
 		Entry("error before", standin.ServiceFaults{Status: 500}, false, 500, 0),
 		Entry("error after", standin.ServiceFaults{StatusAfter: 502}, false, 502, 1),
 		Entry("leaving", standin.ServiceFaults{Leaving: true}, false, 503, 0),
+		Entry("says that it leaves", standin.ServiceFaults{SayLeaving: true}, false, 200, 1),
+		Entry("asks for a pause", standin.ServiceFaults{Pause: "1.5"}, false, 503, 0),
 		Entry("death before", standin.ServiceFaults{DieBefore: 1}, true, 0, 0),
 		Entry("death after", standin.ServiceFaults{DieAfter: 1}, true, 0, 1),
 		Entry("crash marker", standin.ServiceFaults{CrashMarker: "crash"}, true, 0, 0),
