soak: stops and recoveries during a stall are not judged by the clock

"has not stopped within its grace" and "recover" are bounds on time like the others, but were reported whatever the machine did. Both are kept with their interval now, and reported unless the soak or that daemon did not run in it. Without stalls nothing changes.

Also: the list of targets of moves is concatenated, not appended to; two comments.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -46,9 +46,10 @@
 	exited chan struct{}
 	// stopRequested is set when the process was sent a signal that ends it.
 	stopRequested bool
-	// violations describe exits that were not requested and stops that outlasted
-	// their grace.
+	// violations describe exits that were not requested.
 	violations []string
+	// lateStops are the stops that outlasted their grace, from SIGTERM to SIGKILL.
+	lateStops []interval
 	// peakMB is the largest resident memory in MiB, sampled at each signal and during
 	// bursts of long bodies.
 	peakMB int
@@ -139,13 +140,14 @@
 	if exited == nil {
 		return
 	}
+	began := time.Now()
 	timer := time.NewTimer(d.StopGrace + exitSlack)
 	defer timer.Stop()
 	select {
 	case <-exited:
 	case <-timer.C:
 		d.mu.Lock()
-		d.violations = append(d.violations, fmt.Sprintf("daemon %s has not stopped within its grace", d.Name))
+		d.lateStops = append(d.lateStops, interval{began, time.Now()})
 		d.mu.Unlock()
 		d.kill()
 	}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -155,8 +155,10 @@
 	moves          []move
 	poisonRequests []poisonRequest
 	faults         faultIntervals
-	// stalls are times in which the soak's own process did not run.
-	stalls []interval
+	// stalls are times in which the soak's own process did not run, daemonStalls those in
+	// which a daemon's did not.
+	stalls       []interval
+	daemonStalls map[int][]interval
 	// bursts are the bursts of long bodies that daemons got. A daemon may refuse
 	// requests in one.
 	bursts faultIntervals
@@ -285,8 +287,8 @@
 }
 
 // upstreamsAvailable reports whether no fault affected any upstream during an attempt,
-// no burst used up its daemon's memory, and its daemon had run for maxRecoveryTime, long enough to know them all. The store
-// may be down.
+// no burst of long bodies its daemon, and the daemon had run for maxRecoveryTime, long
+// enough to know all upstreams. The store may be down.
 func (obs *observations) upstreamsAvailable(a attempt) bool {
 	for _, intervals := range []faultIntervals{obs.faults, obs.plannedStops} {
 		for _, iv := range intervals[componentID{Daemons, a.daemon}] {
--- a/soak/moves.go
+++ b/soak/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
@@ -18,7 +19,7 @@
 	}
 	defer s.moveMu.Unlock()
 	defer func() {
-		for _, u := range append(s.moveTargets, s.laterTargets...) {
+		for _, u := range slices.Concat(s.moveTargets, s.laterTargets) {
 			s.store.Unregister(u.ID())
 		}
 	}()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -84,7 +84,7 @@
 	// Moves is the number of moves between versions that were ordered.
 	Moves int
 	// PeakMB is the largest resident memory of any daemon in MiB, sampled at each
-	// signal to a daemon.
+	// signal to a daemon and during bursts of long bodies.
 	PeakMB int
 	// Stalls are times in which the soak or a daemon did not run although no fault was
 	// injected, because the machine was busy or suspended. StallTime is their sum. They
@@ -163,7 +163,7 @@
 		return Outcome{}, eris.Wrap(err, "create the directory for logs")
 	}
 	s := &Soak{options: o, seed: seed, logDir: dir, store: platformtest.NewStore(), daemonMu: make([]sync.Mutex, o.Daemons)}
-	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
+	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, daemonStalls: map[int][]interval{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
 	defer s.close()
 	if err := s.build(p); err != nil {
 		return Outcome{}, err
@@ -335,7 +335,9 @@
 		faultsDone.Go(func() { s.injectFault(ctx, f) })
 	}
 	faultsDone.Wait()
-	violations := s.checkRecovery(ctx)
+	recoveryBegan := time.Now()
+	unrecovered := s.checkRecovery(ctx)
+	recovery := interval{recoveryBegan, time.Now()}
 	stop()
 	callersDone.Wait()
 	var stopping sync.WaitGroup
@@ -346,13 +348,14 @@
 	if err := errors.Join(ctx.Err(), s.faultErr); err != nil {
 		return Outcome{}, eris.Wrap(err, "soak")
 	}
-	return s.report(callers, violations)
+	return s.report(callers, unrecovered, recovery)
 }
 
-// report checks the observations and returns the outcome with their violations and
-// those found before. The daemons must have ended.
-func (s *Soak) report(callers []*caller, violations []string) (Outcome, error) {
-	r := Outcome{Seed: s.seed, Violations: violations, Faults: s.faultsInjected, Moves: len(s.observed.moves)}
+// report checks the observations and returns the outcome. unrecovered says of each daemon
+// what it did not serve in the time of recovery; "" for nothing. The daemons must have
+// ended.
+func (s *Soak) report(callers []*caller, unrecovered []string, recovery interval) (Outcome, error) {
+	r := Outcome{Seed: s.seed, Faults: s.faultsInjected, Moves: len(s.observed.moves)}
 	for _, c := range callers {
 		s.observed.attempts = append(s.observed.attempts, c.attempts...)
 	}
@@ -375,8 +378,16 @@
 		r.StallTime += iv.to.Sub(iv.from)
 	}
 	r.Violations = append(r.Violations, s.observed.check()...)
-	for _, d := range s.daemons {
+	for i, d := range s.daemons {
 		r.Violations = append(r.Violations, d.violations...)
+		for _, stop := range d.lateStops {
+			if !s.observed.stalled(i, stop) {
+				r.Violations = append(r.Violations, fmt.Sprintf("daemon %s has not stopped within its grace", d.Name))
+			}
+		}
+		if unrecovered[i] != "" && !s.observed.stalled(i, recovery) {
+			r.Violations = append(r.Violations, unrecovered[i])
+		}
 		r.PeakMB = max(r.PeakMB, d.peakMB)
 	}
 	if r.PeakMB > maxDaemonMB {
@@ -419,8 +430,8 @@
 	return false
 }
 
-// checkRecovery returns the daemons that do not serve every kind of request with the
-// newest configuration within maxRecoveryTime after the last fault.
+// checkRecovery returns, for each daemon, which kind of request it does not serve with the
+// newest configuration within maxRecoveryTime after the last fault; "" for none.
 func (s *Soak) checkRecovery(ctx context.Context) []string {
 	end := time.Now().Add(maxRecoveryTime)
 	violations := make([]string, len(s.daemons))
@@ -441,13 +452,7 @@
 		})
 	}
 	checks.Wait()
-	var out []string
-	for _, v := range violations {
-		if v != "" {
-			out = append(out, v)
-		}
-	}
-	return out
+	return violations
 }
 
 // checkDaemonServes sends a daemon one request of each kind with the newest key, and
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -306,6 +306,14 @@
 		Expect(check(a)).To(BeEmpty())
 	})
 
+	It("knows whether the soak or a daemon stalled during a stop", func() {
+		obs.stalls = []interval{{at(5), at(5.5)}}
+		obs.daemonStalls = map[int][]interval{1: {{at(8), at(8.2)}}}
+		Expect(obs.stalled(0, interval{at(5.4), at(9)})).To(BeTrue())
+		Expect(obs.stalled(0, interval{at(5.6), at(9)})).To(BeFalse())
+		Expect(obs.stalled(1, interval{at(5.6), at(9)})).To(BeTrue())
+	})
+
 	It("reads the stalls in the log of a daemon", func() {
 		stalls, err := readStalls(strings.NewReader(`{"msg":"daemon started","length":3}
 {"time":"2026-12-06T00:00:02.5Z","level":"WARN","msg":"process stalled","part":"edge","from":"2026-12-06T00:00:01.5Z","length":"740ms"}
--- a/soak/stall.go
+++ b/soak/stall.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,6 +70,7 @@
 		for _, iv := range stalls {
 			s.observed.faults.add(Daemons, i, iv)
 		}
+		s.observed.daemonStalls[i] = stalls
 	}
 	return unexplained, nil
 }
@@ -89,3 +91,13 @@
 		}
 	}
 }
+
+// stalled reports whether the soak or a daemon did not run for some of the time.
+func (obs *observations) stalled(daemon int, during interval) bool {
+	for _, iv := range slices.Concat(obs.stalls, obs.daemonStalls[daemon]) {
+		if iv.from.Before(during.to) && during.from.Before(iv.to) {
+			return true
+		}
+	}
+	return false
+}
