--- a/soak/soak.go
+++ b/soak/soak.go
@@ -320,7 +320,10 @@
 	}
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
-	go telemetry.WatchStalls(sending, s.recordStall)
+	// It watches until the daemons have stopped, also if the callers end before.
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go telemetry.WatchStalls(watching, s.recordStall)
 	callers := make([]*caller, s.options.Callers)
 	var callersDone, faultsDone sync.WaitGroup
 	for i := range callers {
@@ -345,6 +348,9 @@
 		stopping.Go(d.terminate)
 	}
 	stopping.Wait()
+	stopWatching()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := errors.Join(ctx.Err(), s.faultErr); err != nil {
 		return Outcome{}, eris.Wrap(err, "soak")
 	}
