edge: count and log requests that a stop drops with their connection; log signals

Logs could not tell apart the hypotheses of docs/incidents/lost-in-stops.md: nothing said that a connection was closed with a request on it, which signal came, or that a cut stream had sent nothing to its client.

'signal received' names each signal that arrived, and 'stream cut' says whether the client had a head and whether the daemon stops: a stream that a stop cut was logged as one whose client had left.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -83,6 +83,7 @@
 	for stop := false; !stop; {
 		select {
 		case sig := <-signals:
+			telemetry.WithPart(logger, "edge").Info("signal received", "signal", sig.String())
 			if stop = sig != syscall.SIGHUP; !stop {
 				s = reload(d, logger, config, s)
 			}
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -1,11 +1,20 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
+// droppedRequests counts the requests that had arrived, whole or in part, on connections
+// that a stop closed before it took them.
+var droppedRequests = metrics.NewCounter("gooseberryroad_client_requests_dropped_total")
+
 // connectionTracker closes idle client connections when the daemon stops.
 // net/http counts a connection as idle until it has read the head of the next
 // request, so http.Server.Shutdown can close a connection on which a request
@@ -14,6 +23,8 @@
 	mu       sync.Mutex
 	open     map[*trackedConnection]struct{}
 	stopping bool
+	// log is nil in tests.
+	log *slog.Logger
 }
 
 // trackedConnection is a connection of a client.
@@ -23,6 +34,12 @@
 	// idle is the state that net/http reported last; requestBegun says that bytes
 	// arrived after the last write.
 	idle, requestBegun, closed bool
+	// requests counts the requests that begin in the bytes that arrive; taken is the number
+	// of those that were passed to the handler.
+	requests requestCounter
+	taken    int
+	// lost says that the client, or the network, ended the connection.
+	lost bool
 }
 
 // trackedListener wraps the connections that it accepts in trackedConnection.
@@ -57,6 +74,8 @@
 		return 0, net.ErrClosed
 	}
 	c.requestBegun = c.requestBegun || n > 0
+	c.requests.add(b[:n])
+	c.lost = c.lost || n == 0 && err != nil && !isTimeout(err)
 	return n, err
 }
 
@@ -101,6 +120,9 @@
 	}
 	stopping := t.stopping
 	t.mu.Unlock()
+	if stopping && s == http.StateClosed {
+		t.recordDropped(c)
+	}
 	if stopping {
 		c.closeIfIdle()
 	}
@@ -120,3 +142,47 @@
 		c.closeIfIdle()
 	}
 }
+
+// recordDropped counts and logs the requests that had arrived on a connection when a stop
+// closed it, and that were not passed to the handler.
+func (t *connectionTracker) recordDropped(c *trackedConnection) {
+	c.mu.Lock()
+	dropped := c.requests.begun - c.taken
+	if c.lost {
+		dropped = 0
+	}
+	c.mu.Unlock()
+	if dropped <= 0 {
+		return
+	}
+	droppedRequests.Add(dropped)
+	if t.log != nil {
+		t.log.Warn("requests dropped with their connection", "client", c.RemoteAddr().String(), "requests", dropped)
+	}
+}
+
+// connectionKey is the key of a request's trackedConnection in its context.
+type connectionKey struct{}
+
+// connContext is the ConnContext hook of the http.Server.
+func connContext(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, nc)
+}
+
+// countTaken returns a handler that counts the requests of each connection that it passes
+// to next.
+func countTaken(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connectionKey{}).(*trackedConnection); ok {
+			c.mu.Lock()
+			c.taken++
+			c.mu.Unlock()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,10 +144,11 @@
 func (e *Edge) start(context.Context) error {
 	runCtx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	e.connections.log = telemetry.WithPart(e.o.Logger, "clients")
 	e.clients = &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: e.connections.connStateChanged,
-		ErrorLog:  slog.NewLogLogger(telemetry.WithPart(e.o.Logger, "clients").Handler(), slog.LevelInfo),
+		Handler: countTaken(e.gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: e.connections.connStateChanged, ConnContext: connContext,
+		ErrorLog: slog.NewLogLogger(telemetry.WithPart(e.o.Logger, "clients").Handler(), slog.LevelInfo),
 	}
 	s := e.o.Settings
 	servers := []struct {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -123,7 +123,7 @@
 			countRequestEnd(s.r, outcomeCut)
 		}
 		s.g.o.Logger.Warn("stream cut", "id", s.r.ID, "route", s.r.route.Name, "reason", s.stopReason, "client_left", clientLeft,
-			"events", s.state.Events(), "runs", s.runs, "took", now.Sub(s.r.arrivedAt))
+			"stopping", s.g.drainPlan.Load() != nil, "head_sent", s.headSent, "events", s.state.Events(), "runs", s.runs, "took", now.Sub(s.r.arrivedAt))
 		panic(http.ErrAbortHandler)
 	}
 	f := refusal{status: http.StatusServiceUnavailable, code: s.stopReason, retryAfter: s.retryAfter}
