gateway, edge: a stop answers requests that are pipelined on a connection

Callers that pipeline got no answer to the requests behind the first one that was answered after SIGTERM. The requests had been received whole and did not run; with 300 ms of work for each order their connections ended over 200 ms after their last byte (LOST).

Cause: the first answer in the stop said 'Connection: close', whatever had arrived behind its request, and net/http closed the connection with the next requests in its buffer. The tracker of connections forgot bytes that had arrived as soon as something was written.

Change: a connection knows how many requests have begun to arrive on it and how many were taken. An answer closes the connection only if nothing has arrived behind its request, and an idle connection is closed only if nothing has arrived that was not taken.

Ruled out: to serve requests of one connection in parallel, as their answers would have to be put in order again.

Tests of connectionTracker send whole requests in place of single words, because requests are counted by their framing now; they expect the same.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/gooseberryroad/gooseberryroad/gateway"
 )
 
 // droppedRequests counts the requests that had arrived, whole or in part, on connections
@@ -17,8 +19,7 @@
 
 // connectionTracker closes idle client connections when the daemon stops.
 // net/http counts a connection as idle until it has read the head of the next
-// request, so http.Server.Shutdown can close a connection on which a request
-// has begun, while the request is still forwarded to an upstream.
+// request, also if that request has arrived already.
 type connectionTracker struct {
 	mu       sync.Mutex
 	open     map[*trackedConnection]struct{}
@@ -31,9 +32,8 @@
 type trackedConnection struct {
 	net.Conn
 	mu sync.Mutex
-	// idle is the state that net/http reported last; requestBegun says that bytes
-	// arrived after the last write.
-	idle, requestBegun, closed bool
+	// idle is the state that net/http reported last.
+	idle, closed bool
 	// requests counts the requests that begin in the bytes that arrive; taken is the number
 	// of those that were passed to the handler.
 	requests requestCounter
@@ -73,20 +73,11 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.requestBegun = c.requestBegun || n > 0
 	c.requests.add(b[:n])
 	c.lost = c.lost || n == 0 && err != nil && !isTimeout(err)
 	return n, err
 }
 
-// Write implements net.Conn.
-func (c *trackedConnection) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	c.requestBegun = false
-	c.mu.Unlock()
-	return c.Conn.Write(b)
-}
-
 // CloseWrite lets net/http end a response before the client has sent its whole
 // body.
 func (c *trackedConnection) CloseWrite() error {
@@ -96,11 +87,25 @@
 	return nil
 }
 
+// NextRequestArrived implements gateway.Connection.
+func (c *trackedConnection) NextRequestArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests.begun > c.taken
+}
+
+// take counts a request that is passed to the handler.
+func (c *trackedConnection) take() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken++
+}
+
 // closeIfIdle closes the connection if no request has begun on it.
 func (c *trackedConnection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.requestBegun && !c.closed {
+	if c.idle && c.requests.begun <= c.taken && !c.closed {
 		c.closed = true
 		// The error is ignored: the client has no request in flight that could miss its
 		// response.
@@ -161,22 +166,17 @@
 	}
 }
 
-// connectionKey is the key of a request's trackedConnection in its context.
-type connectionKey struct{}
-
 // connContext is the ConnContext hook of the http.Server.
 func connContext(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, nc)
+	return gateway.WithConnection(ctx, nc.(*trackedConnection))
 }
 
 // countTaken returns a handler that counts the requests of each connection that it passes
 // to next.
 func countTaken(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connectionKey{}).(*trackedConnection); ok {
-			c.mu.Lock()
-			c.taken++
-			c.mu.Unlock()
+		if c, ok := gateway.ConnectionOf(r.Context()).(*trackedConnection); ok {
+			c.take()
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -22,10 +22,29 @@
 	var c *trackedConnection
 	var client net.Conn
 	read := func() (string, error) {
-		b := make([]byte, 16)
+		b := make([]byte, 4096)
 		n, err := c.Read(b)
 		return string(b[:n]), err
 	}
+	send := func(text string) {
+		_, err := io.WriteString(client, text)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	// receive passes bytes of the client to net/http.
+	receive := func(text string) {
+		send(text)
+		Expect(read()).To(Equal(text))
+	}
+	// answer ends a request that the handler took: the client has its response, and the
+	// connection is kept.
+	answer := func() {
+		tracker.connStateChanged(c, http.StateActive)
+		c.take()
+		_, err := c.Write([]byte("answer"))
+		Expect(err).NotTo(HaveOccurred())
+		tracker.connStateChanged(c, http.StateIdle)
+	}
+	const request = "GET / HTTP/1.1\r\n\r\n"
 	BeforeEach(func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -40,19 +59,9 @@
 			_ = client.Close()
 			_ = c.Close()
 		})
+		receive(request)
 		tracker.connStateChanged(c, http.StateActive)
 	})
-	// answer ends a request: the client has its response, and the connection is
-	// kept.
-	answer := func() {
-		_, err := c.Write([]byte("answer"))
-		Expect(err).NotTo(HaveOccurred())
-		tracker.connStateChanged(c, http.StateIdle)
-	}
-	send := func(text string) {
-		_, err := io.WriteString(client, text)
-		Expect(err).NotTo(HaveOccurred())
-	}
 
 	It("closes idle connections when the daemon stops", func() {
 		answer()
@@ -63,23 +72,34 @@
 
 	It("keeps a connection on which a request has begun until it is idle again", func() {
 		answer()
-		send("second")
-		Expect(read()).To(Equal("second"))
+		receive(request[:7])
 		tracker.closeIdle() // before net/http says that the connection is active
-		tracker.connStateChanged(c, http.StateActive)
+		receive(request[7:])
 		answer()
 		Expect(io.ReadAll(client)).To(BeEquivalentTo("answeranswer"))
 	})
 
 	It("keeps a connection whose next request arrived before net/http reported it as idle", func() {
+		c.take()
 		_, err := c.Write([]byte("answer"))
 		Expect(err).NotTo(HaveOccurred())
-		send("second")
-		Expect(read()).To(Equal("second"))
+		receive(request[:7])
 		tracker.connStateChanged(c, http.StateIdle)
 		tracker.closeIdle()
-		send("rest")
-		Expect(read()).To(Equal("rest"))
+		receive(request[7:])
+	})
+
+	// Guards against requests that are pipelined behind the one that is answered.
+	It("keeps a connection on which further requests arrived together with the first", func() {
+		receive(request + request)
+		tracker.closeIdle()
+		answer()
+		Expect(c.NextRequestArrived()).To(BeTrue())
+		answer()
+		Expect(c.NextRequestArrived()).To(BeTrue())
+		answer()
+		Expect(c.NextRequestArrived()).To(BeFalse())
+		Expect(io.ReadAll(client)).To(BeEquivalentTo("answeransweranswer"), "the connection is closed then")
 	})
 
 	It("does not pass on bytes that were not read before the close", func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -81,8 +80,8 @@
 	}
 }
 
-// Drain makes the gateway close each client connection after its response, admit
-// only the requests that the plan allows, and answer those that still run before their
+// Drain makes the gateway close each client connection after the response to the last
+// request that has arrived on it, admit only the requests that the plan allows, and answer those that still run before their
 // connections are cut. It is called once.
 func (g *Gateway) Drain(p drain.Plan) {
 	g.drainPlan.Store(&p)
@@ -103,14 +102,6 @@
 	}
 }
 
-// closeConnectionIfDraining sets "Connection: close" while the daemon stops. It
-// must be called before the head of the response is written.
-func (g *Gateway) closeConnectionIfDraining(h http.Header) {
-	if g.drainPlan.Load() != nil {
-		h.Set("Connection", "close")
-	}
-}
-
 // RunningStreams returns the number of streams that are being served.
 func (g *Gateway) RunningStreams() int { return int(g.runningStreams.Load()) }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -60,6 +60,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	arrived := time.Now()
 	call := g.o.Protocol.DecodeRequest(hr)
+	call.connection = ConnectionOf(hr.Context())
 	plan := g.drainPlan.Load()
 	view := g.o.Directory.View()
 	if !view.Ready && plan == nil {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -34,6 +34,8 @@
 	// sets itself.
 	Header http.Header
 	Body   []byte
+	// connection is nil if it is not known.
+	connection Connection
 }
 
 // Attempt is what one upstream is told in addition to the client's own header.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -41,7 +41,7 @@
 	h.Set("Content-Type", "application/json")
 	g.o.Protocol.SetErrorHeader(h, call.ID, r.retryAfter)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	g.closeConnectionIfDraining(h)
+	g.closeConnectionIfDraining(call, h)
 	w.WriteHeader(r.status)
 	if _, err := w.Write(body); err != nil {
 		g.o.Logger.Info("refusal not delivered", "id", call.ID, "cause", err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -363,7 +363,7 @@
 	s.headSentAt = time.Now()
 	RemoveConnectionHeaders(h)
 	copyHeader(s.w.Header(), h)
-	s.g.closeConnectionIfDraining(s.w.Header())
+	s.g.closeConnectionIfDraining(s.r.Call, s.w.Header())
 	s.w.WriteHeader(http.StatusOK)
 }
 
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -344,7 +344,7 @@
 	RemoveConnectionHeaders(resp.header)
 	copyHeader(h, resp.header)
 	h.Set("Content-Length", strconv.Itoa(len(resp.body)))
-	g.closeConnectionIfDraining(h)
+	g.closeConnectionIfDraining(r.Call, h)
 	w.WriteHeader(resp.status)
 	_, err := w.Write(resp.body)
 	countRequestEnd(r, outcomeAnswered)
