edge, drain: a stop closes connections itself, and none on which a request has arrived

Callers whose connection was open when a stop closed the listener, but whose request came, or was complete, only afterwards got no answer: the daemon read the whole request and closed.

Cause: http.Server.Shutdown. From its call on net/http returns from a connection right after it has read a request, without the handler, and it judges connections by its own state, which is idle until the head was read whole.

Change: the edge closes the listener itself, waits until the accept loop has ended, so that no accepted connection is missed, and closes connections by drain.Plan.ClosesConnection: never before the deadline while a request has begun to arrive, is being answered or waits in the kernel; otherwise one second after the connection was opened or last used. What is open at the deadline is closed as before.

Ruled out: to call Shutdown later. It drops requests whenever it is called.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -24,6 +24,9 @@
 	closingPeriod = time.Second
 	// killMargin is the last part of the grace, reserved for closing connections.
 	killMargin = 400 * time.Millisecond
+	// unusedPeriod is how long a connection on which no request has arrived is kept after
+	// it was opened or the last answer was sent: a request may be on its way.
+	unusedPeriod = time.Second
 	// answerMargin is the time between the last answer and the deadline, at which open
 	// connections are cut: an answer has to be written and sent.
 	answerMargin = 250 * time.Millisecond
@@ -69,6 +72,21 @@
 	return streams == 0 || !now.Before(p.Deadline().Add(-closingPeriod))
 }
 
+// Connection is what is known of a client's connection.
+type Connection struct {
+	// Unanswered says that a request has arrived, at least in part, and is not answered.
+	Unanswered bool
+	// UnusedSince is when the connection was opened or last carried a byte.
+	UnusedSince time.Time
+}
+
+// ClosesConnection reports whether a connection is closed now, once the listener is
+// closed. A connection on which a request has arrived is never closed before the deadline:
+// the request would be lost.
+func (p Plan) ClosesConnection(c Connection, now time.Time) bool {
+	return !c.Unanswered && now.Sub(c.UnusedSince) >= unusedPeriod
+}
+
 // Chain returns what a stop does at least, one after the other, before the process is
 // killed at the end of the grace.
 func Chain(grace time.Duration) bounds.Chain {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -73,4 +73,16 @@
 		Expect(short.ShouldClose(1, at(2500*time.Millisecond))).To(BeTrue())
 		Expect(short.Accepts(false, at(2500*time.Millisecond))).To(BeFalse())
 	})
+
+	// Guards against requests that are dropped with their connection: they have arrived, or
+	// are on their way on a connection that was just opened.
+	It("keeps a connection while a request is unanswered, and one that was just opened or used", func() {
+		now := at(3 * time.Second)
+		unused := func(unanswered bool, since time.Duration) bool {
+			return plan.ClosesConnection(drain.Connection{Unanswered: unanswered, UnusedSince: now.Add(-since)}, now)
+		}
+		Expect(unused(true, time.Hour)).To(BeFalse())
+		Expect(unused(false, 999*time.Millisecond)).To(BeFalse())
+		Expect(unused(false, time.Second)).To(BeTrue())
+	})
 })
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -4,12 +4,17 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/gateway"
 )
 
@@ -17,9 +22,9 @@
 // that a stop closed before it took them.
 var droppedRequests = metrics.NewCounter("gooseberryroad_client_requests_dropped_total")
 
-// connectionTracker closes idle client connections when the daemon stops.
-// net/http counts a connection as idle until it has read the head of the next
-// request, also if that request has arrived already.
+// connectionTracker closes client connections when the daemon stops. http.Server.Shutdown
+// is not used for that: it counts a connection as idle until the whole head of the next
+// request was read, and drops requests that are read after it was called.
 type connectionTracker struct {
 	mu       sync.Mutex
 	open     map[*trackedConnection]struct{}
@@ -32,8 +37,10 @@
 type trackedConnection struct {
 	net.Conn
 	mu sync.Mutex
-	// idle is the state that net/http reported last.
-	idle, closed bool
+	// idle and active say that net/http reported this state last.
+	idle, active, closed bool
+	// unusedSince is when the connection was opened, last received a byte or became idle.
+	unusedSince time.Time
 	// requests counts the requests that begin in the bytes that arrive; taken is the number
 	// of those that were passed to the handler.
 	requests requestCounter
@@ -54,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &trackedConnection{Conn: c}
+	out := &trackedConnection{Conn: c, unusedSince: time.Now()}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	if l.tracker.open == nil {
@@ -65,7 +72,7 @@
 }
 
 // Read implements net.Conn. It discards bytes that arrive after the connection
-// was closed by closeIfIdle.
+// was closed by the tracker.
 func (c *trackedConnection) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
@@ -73,7 +80,10 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.requests.add(b[:n])
+	if n > 0 {
+		c.requests.add(b[:n])
+		c.unusedSince = time.Now()
+	}
 	c.lost = c.lost || n == 0 && err != nil && !isTimeout(err)
 	return n, err
 }
@@ -105,19 +115,63 @@
 func (c *trackedConnection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && c.requests.begun <= c.taken && !c.closed {
-		c.closed = true
-		// The error is ignored: the client has no request in flight that could miss its
-		// response.
-		_ = c.Close()
+	if c.idle && c.requests.begun <= c.taken {
+		c.close()
+	}
+}
+
+// closeIfUnused closes the connection if the plan of the stop says so.
+func (c *trackedConnection) closeIfUnused(plan drain.Plan, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := drain.Connection{
+		Unanswered:  c.active || c.requests.begun > c.taken || hasUnreadBytes(c.Conn),
+		UnusedSince: c.unusedSince,
+	}
+	if plan.ClosesConnection(state, now) {
+		c.close()
+	}
+}
+
+// close closes the connection. The caller holds c.mu.
+func (c *trackedConnection) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	// The error is ignored: the client has no request in flight that could miss its
+	// response.
+	_ = c.Close()
+}
+
+// hasUnreadBytes reports whether bytes have arrived that nobody has read yet, for example
+// because the process was stopped.
+func hasUnreadBytes(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
 	}
+	n := 0
+	// Errors mean that there is nothing to read: the connection is closed or empty.
+	_ = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
 }
 
 // connStateChanged is the ConnState hook of the http.Server.
 func (t *connectionTracker) connStateChanged(nc net.Conn, s http.ConnState) {
 	c := nc.(*trackedConnection)
 	c.mu.Lock()
-	c.idle = s == http.StateIdle
+	c.idle, c.active = s == http.StateIdle, s == http.StateActive
+	if c.idle {
+		c.unusedSince = time.Now()
+	}
 	c.mu.Unlock()
 	t.mu.Lock()
 	if s == http.StateClosed || s == http.StateHijacked {
@@ -138,16 +192,28 @@
 func (t *connectionTracker) closeIdle() {
 	t.mu.Lock()
 	t.stopping = true
-	open := make([]*trackedConnection, 0, len(t.open))
-	for c := range t.open {
-		open = append(open, c)
-	}
 	t.mu.Unlock()
-	for _, c := range open {
+	for _, c := range t.connections() {
 		c.closeIfIdle()
 	}
 }
 
+// closeUnused closes the connections that the plan of a stop no longer keeps, and returns
+// the number of those that are open.
+func (t *connectionTracker) closeUnused(plan drain.Plan, now time.Time) int {
+	open := t.connections()
+	for _, c := range open {
+		c.closeIfUnused(plan, now)
+	}
+	return len(open)
+}
+
+func (t *connectionTracker) connections() []*trackedConnection {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.open))
+}
+
 // recordDropped counts and logs the requests that had arrived on a connection when a stop
 // closed it, and that were not passed to the handler.
 func (t *connectionTracker) recordDropped(c *trackedConnection) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -69,8 +69,10 @@
 	clients  *http.Server
 	// connections tracks the connections of clients.
 	connections connectionTracker
-	listeners   []net.Listener
-	stopping    atomic.Bool
+	// accepted is closed when no more connections of clients are accepted.
+	accepted  chan struct{}
+	listeners []net.Listener
+	stopping  atomic.Bool
 	// grace is the time that a stop may take, as a time.Duration; it may change
 	// while the process runs.
 	grace  atomic.Int64
@@ -79,7 +81,7 @@
 
 // New assembles a gateway process; Start opens its listeners.
 func New(o Options) (*Edge, error) {
-	e := &Edge{o: o}
+	e := &Edge{o: o, accepted: make(chan struct{})}
 	e.grace.Store(int64(o.Settings.StopGrace))
 	e.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -170,7 +172,11 @@
 		}
 		e.listeners = append(e.listeners, l)
 		if v.server == e.clients {
-			l = trackedListener{l, &e.connections}
+			go func() {
+				defer close(e.accepted)
+				e.serve(e.clients, trackedListener{l, &e.connections})
+			}()
+			continue
 		}
 		go e.serve(v.server, l)
 	}
@@ -233,13 +239,7 @@
 	for ctx.Err() == nil && !plan.ShouldClose(e.gateway.RunningStreams(), time.Now()) {
 		pause.For(ctx, drainPollInterval)
 	}
-	drainCtx, cancel := context.WithDeadline(ctx, plan.Deadline())
-	defer cancel()
-	err := e.clients.Shutdown(drainCtx)
-	if err != nil {
-		log.Warn("requests cut at the end of the grace period", "cause", err)
-		err = e.clients.Close()
-	}
+	err := e.closeConnections(ctx, plan)
 	e.cancel()
 	for _, l := range e.listeners {
 		// The client listener is closed already.
@@ -248,3 +248,21 @@
 	log.Info("stopped", "took", time.Since(plan.Began))
 	return err
 }
+
+// closeConnections accepts no further connections of clients, and closes the open ones as
+// their requests are answered. At the plan's deadline, or when ctx ends, it closes the rest.
+func (e *Edge) closeConnections(ctx context.Context, plan drain.Plan) error {
+	ctx, cancel := context.WithDeadline(ctx, plan.Deadline())
+	defer cancel()
+	// The server reports the error of a listener that is closed to serve.
+	_ = e.listeners[0].Close()
+	<-e.accepted
+	open := e.connections.closeUnused(plan, time.Now())
+	for open > 0 && pause.For(ctx, drainPollInterval) {
+		open = e.connections.closeUnused(plan, time.Now())
+	}
+	if open > 0 {
+		telemetry.WithPart(e.o.Logger, "edge").Warn("requests cut at the end of the grace period", "connections", open)
+	}
+	return eris.Wrap(e.clients.Close(), "close the connections of clients")
+}
