edge, drain: a stop keeps unused connections until the balancer has noticed it

A request that a client sends on a kept connection in the moment in which the daemon closes it gets no answer, and the caller of an order cannot know that it did not run.

Cause: a stop closed all idle connections at SIGTERM, and each one that became idle, although their clients use most of them within the next second and would be told by the answer to open another one.

Change: they are kept while the balancer still sends new connections (2.5 s); then those are closed that carried nothing for a second. Whatever has arrived on them, read or not, keeps them open.

The test of the plan fails without the change ('the balancer may not have noticed the stop').

Tests of connectionTracker: they call closeUnused in place of closeIdle, and check besides that unused connections end in order, that an answer in the making and bytes that wait in the kernel keep a connection. 'does not pass on bytes that were not read before the close' expected that such a connection is closed; a request that has arrived keeps it now, and bytes that come after the close are still not passed on.

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -84,5 +84,7 @@
 		Expect(unused(true, time.Hour)).To(BeFalse())
 		Expect(unused(false, 999*time.Millisecond)).To(BeFalse())
 		Expect(unused(false, time.Second)).To(BeTrue())
+		now = at(2499 * time.Millisecond)
+		Expect(unused(false, time.Hour)).To(BeFalse(), "the balancer may not have noticed the stop")
 	})
 })
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -37,8 +37,8 @@
 type trackedConnection struct {
 	net.Conn
 	mu sync.Mutex
-	// idle and active say that net/http reported this state last.
-	idle, active, closed bool
+	// active says that net/http reported last that a request is being answered.
+	active, closed bool
 	// unusedSince is when the connection was opened, last received a byte or became idle.
 	unusedSince time.Time
 	// requests counts the requests that begin in the bytes that arrive; taken is the number
@@ -111,15 +111,6 @@
 	c.taken++
 }
 
-// closeIfIdle closes the connection if no request has begun on it.
-func (c *trackedConnection) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle && c.requests.begun <= c.taken {
-		c.close()
-	}
-}
-
 // closeIfUnused closes the connection if the plan of the stop says so.
 func (c *trackedConnection) closeIfUnused(plan drain.Plan, now time.Time) {
 	c.mu.Lock()
@@ -168,8 +159,8 @@
 func (t *connectionTracker) connStateChanged(nc net.Conn, s http.ConnState) {
 	c := nc.(*trackedConnection)
 	c.mu.Lock()
-	c.idle, c.active = s == http.StateIdle, s == http.StateActive
-	if c.idle {
+	c.active = s == http.StateActive
+	if s == http.StateIdle {
 		c.unusedSince = time.Now()
 	}
 	c.mu.Unlock()
@@ -182,38 +173,21 @@
 	if stopping && s == http.StateClosed {
 		t.recordDropped(c)
 	}
-	if stopping {
-		c.closeIfIdle()
-	}
 }
 
-// closeIdle closes the idle connections, and from now on each connection that
-// becomes idle.
-func (t *connectionTracker) closeIdle() {
+// closeUnused closes the connections that the plan of a stop no longer keeps, and returns
+// the number of those that were open.
+func (t *connectionTracker) closeUnused(plan drain.Plan, now time.Time) int {
 	t.mu.Lock()
 	t.stopping = true
+	open := slices.Collect(maps.Keys(t.open))
 	t.mu.Unlock()
-	for _, c := range t.connections() {
-		c.closeIfIdle()
-	}
-}
-
-// closeUnused closes the connections that the plan of a stop no longer keeps, and returns
-// the number of those that are open.
-func (t *connectionTracker) closeUnused(plan drain.Plan, now time.Time) int {
-	open := t.connections()
 	for _, c := range open {
 		c.closeIfUnused(plan, now)
 	}
 	return len(open)
 }
 
-func (t *connectionTracker) connections() []*trackedConnection {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.Collect(maps.Keys(t.open))
-}
-
 // recordDropped counts and logs the requests that had arrived on a connection when a stop
 // closed it, and that were not passed to the handler.
 func (t *connectionTracker) recordDropped(c *trackedConnection) {
--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/drain"
 )
 
 func TestEdge(t *testing.T) {
@@ -63,19 +66,43 @@
 		tracker.connStateChanged(c, http.StateActive)
 	})
 
-	It("closes idle connections when the daemon stops", func() {
+	// closeUnused does what a stop does once no daemon gets new connections any more, as late
+	// as the last unused connections are closed.
+	closeUnused := func() int {
+		now := time.Now()
+		return tracker.closeUnused(drain.Plan{Began: now, Grace: time.Minute}, now.Add(30*time.Second))
+	}
+
+	It("closes unused connections when the daemon stops", func() {
 		answer()
-		tracker.closeIdle()
+		Expect(closeUnused()).To(Equal(1))
 		_, err := read()
 		Expect(err).To(MatchError(net.ErrClosed))
+		_, err = io.ReadAll(client)
+		Expect(err).NotTo(HaveOccurred(), "the connection ends in order")
+	})
+
+	It("closes a connection that was opened and never used", func() {
+		*c = trackedConnection{Conn: c.Conn, unusedSince: c.unusedSince}
+		closeUnused()
+		Expect(io.ReadAll(client)).To(BeEmpty())
+	})
+
+	It("keeps a connection on which a request is answered", func() {
+		c.take()
+		closeUnused()
+		answer()
+		closeUnused()
+		Expect(io.ReadAll(client)).To(BeEquivalentTo("answer"))
 	})
 
 	It("keeps a connection on which a request has begun until it is idle again", func() {
 		answer()
 		receive(request[:7])
-		tracker.closeIdle() // before net/http says that the connection is active
+		closeUnused() // before net/http says that the connection is active
 		receive(request[7:])
 		answer()
+		closeUnused()
 		Expect(io.ReadAll(client)).To(BeEquivalentTo("answeranswer"))
 	})
 
@@ -85,27 +112,40 @@
 		Expect(err).NotTo(HaveOccurred())
 		receive(request[:7])
 		tracker.connStateChanged(c, http.StateIdle)
-		tracker.closeIdle()
+		closeUnused()
 		receive(request[7:])
 	})
 
 	// Guards against requests that are pipelined behind the one that is answered.
 	It("keeps a connection on which further requests arrived together with the first", func() {
 		receive(request + request)
-		tracker.closeIdle()
+		closeUnused()
 		answer()
 		Expect(c.NextRequestArrived()).To(BeTrue())
 		answer()
+		closeUnused()
 		Expect(c.NextRequestArrived()).To(BeTrue())
 		answer()
 		Expect(c.NextRequestArrived()).To(BeFalse())
-		Expect(io.ReadAll(client)).To(BeEquivalentTo("answeransweranswer"), "the connection is closed then")
+		closeUnused()
+		Expect(io.ReadAll(client)).To(BeEquivalentTo("answeransweranswer"))
+	})
+
+	// Guards against requests that arrive while the process does not run, and are dropped when
+	// it runs again.
+	It("keeps a connection whose next request nobody has read yet", func() {
+		answer()
+		send(request)
+		Eventually(func() bool { return hasUnreadBytes(c.Conn) }).Should(BeTrue())
+		closeUnused()
+		Expect(read()).To(Equal(request))
 	})
 
-	It("does not pass on bytes that were not read before the close", func() {
+	It("does not pass on bytes that arrive when the connection is closed", func() {
 		answer()
-		send("late")
-		tracker.closeIdle()
+		closeUnused()
+		// The error is that of a connection that its peer has closed.
+		_, _ = io.WriteString(client, "late")
 		n, err := c.Read(make([]byte, 16))
 		Expect(n).To(BeZero())
 		Expect(err).To(HaveOccurred())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -228,15 +228,16 @@
 }
 
 // stop lets running requests end and serves those that can still end within the
-// grace period. Idle connections are closed at once.
+// grace period. The last answer on each connection closes it; idle connections are kept
+// until the balancer has noticed the stop, as their next request may be on its way.
 func (e *Edge) stop(ctx context.Context) error {
 	plan := drain.Plan{Began: time.Now(), Grace: time.Duration(e.grace.Load())}
 	log := telemetry.WithPart(e.o.Logger, "edge")
 	log.Info("stopping", "grace", plan.Grace)
 	e.stopping.Store(true)
 	e.gateway.Drain(plan)
-	e.connections.closeIdle()
 	for ctx.Err() == nil && !plan.ShouldClose(e.gateway.RunningStreams(), time.Now()) {
+		e.connections.closeUnused(plan, time.Now())
 		pause.For(ctx, drainPollInterval)
 	}
 	err := e.closeConnections(ctx, plan)
