gateway: a stop answers streams that have no event yet before it cuts connections

Callers whose stream had no event by the end of a stop got no byte of an answer: their connection was cut, and they could not know whether the request had arrived.

Cause: the end of a stop cancelled requests with one body 0.65 s before the end of the grace, but not streams. One without an event was cut with those that have some, although an answer is possible there.

Change: streams without an event end with the others: 503 with Retry-After if no engine got the request, else 502. A stream whose client has events is cut as before, so that it is resumed elsewhere.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,11 +91,16 @@
 // errStopEnds ends the requests that still run at the end of a stop.
 var errStopEnds = eris.New("the stop of the daemon ends")
 
-// endWithStop returns a context of a request that is cancelled at the end of a stop.
-// The caller must call the returned function when the request has ended.
-func (g *Gateway) endWithStop(ctx context.Context) (context.Context, func()) {
+// endWithStop returns a context of a request that is cancelled at the end of a stop, when
+// requests that still run have to be answered, if mayEnd returns true then. The caller must
+// call the returned function when the request has ended.
+func (g *Gateway) endWithStop(ctx context.Context, mayEnd func() bool) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	unregister := context.AfterFunc(g.stopEnds, func() { cancel(errStopEnds) })
+	unregister := context.AfterFunc(g.stopEnds, func() {
+		if mayEnd() {
+			cancel(errStopEnds)
+		}
+	})
 	return ctx, func() {
 		unregister()
 		cancel(nil)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -98,7 +98,7 @@
 		return
 	}
 	defer func() { g.heldBodies.release(r.heldResponseBytes) }()
-	ctx, ended := g.endWithStop(ctx)
+	ctx, ended := g.endWithStop(ctx, func() bool { return true })
 	defer ended()
 	g.serveBuffered(ctx, w, r)
 }
@@ -183,7 +183,7 @@
 func (r *request) admitWhileDraining(plan *drain.Plan, usualTime time.Duration, now time.Time) *refusal {
 	isStream := r.route.Kind == routes.Stream
 	if !plan.Accepts(isStream, now) || !isStream && !plan.LeavesTime(2*usualTime, now) {
-		return &refusal{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stopRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, code: codeStopping, retryAfter: stopRetryAfter}
 	}
 	if !isStream && plan.AnswerBy().Before(r.deadline) {
 		r.deadline = plan.AnswerBy()
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// codeStopping is the code of an answer to a request that the stop of the daemon would cut.
+const codeStopping = "stopping"
+
 // refusal is an error response that the gateway generates itself. Status 429
 // and 503 promise that the request has not run and never will.
 type refusal struct {
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -77,7 +77,7 @@
 				return s.withCopyTarget(assignment{upstream: in}, ranked), true
 			}
 		}
-		if !s.headSent && s.runs == 0 {
+		if !s.headSent.Load() && s.runs == 0 {
 			giveUpAt := s.r.arrivedAt.Add(time.Duration(streamSearchShare * float64(s.r.route.TargetLatency)))
 			if s.stopReason, s.retryAfter = s.g.refuseIfAllWithdrawn(s.r, now.Add(delay), giveUpAt); s.stopReason != "" {
 				return assignment{}, false
@@ -132,7 +132,7 @@
 		return true
 	}
 	purpose, until := retrybudget.PurposeContinuation, s.lastEventAt.Add(maxContinueWait)
-	if !s.headSent {
+	if !s.headSent.Load() {
 		share := budgetWaitShare
 		if s.runs > 0 {
 			// A stream that may have run cannot be refused as not run, only fail. A longer
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,7 +45,7 @@
 	state *failover.Stream
 	// lastEventID is the ID of the last event that the client has.
 	lastEventID int64
-	headSent    bool
+	headSent    atomic.Bool
 	// headSentAt is when the head was sent to the client, lastEventAt when the last
 	// event was.
 	headSentAt  time.Time
@@ -72,6 +73,8 @@
 	o.Resumable = r.route.Resumable
 	o.MaxRuns = max(r.route.MaxAttempts, 1)
 	s := &stream{g: g, r: r, w: w, state: failover.New(o), lastEventID: r.LastEventID, excluded: map[string]bool{}}
+	ctx, ended := g.endWithStop(ctx, func() bool { return !s.headSent.Load() })
+	defer ended()
 	p, ok := s.findUpstream(ctx)
 	for ok {
 		step := s.run(ctx, &p)
@@ -82,7 +85,7 @@
 		case failover.StepWait:
 			// If no head was sent, the response of an engine that failed has been delivered
 			// and counted already.
-			if s.headSent {
+			if s.headSent.Load() {
 				s.recordComplete()
 			}
 			return
@@ -115,15 +118,18 @@
 // is cut, so that the response does not look complete.
 func (s *stream) fail(ctx context.Context) {
 	now := time.Now()
-	clientLeft := errors.Is(ctx.Err(), context.Canceled)
-	if s.headSent || clientLeft {
+	clientLeft := errors.Is(context.Cause(ctx), context.Canceled)
+	if errors.Is(context.Cause(ctx), errStopEnds) {
+		s.stopReason = codeStopping
+	}
+	if s.headSent.Load() || clientLeft {
 		if clientLeft {
 			countRequestEnd(s.r, outcomeClientLeft)
 		} else {
 			countRequestEnd(s.r, outcomeCut)
 		}
 		s.g.o.Logger.Warn("stream cut", "id", s.r.ID, "route", s.r.route.Name, "reason", s.stopReason, "client_left", clientLeft,
-			"stopping", s.g.drainPlan.Load() != nil, "head_sent", s.headSent, "events", s.state.Events(), "runs", s.runs, "took", now.Sub(s.r.arrivedAt))
+			"stopping", s.g.drainPlan.Load() != nil, "head_sent", s.headSent.Load(), "events", s.state.Events(), "runs", s.runs, "took", now.Sub(s.r.arrivedAt))
 		panic(http.ErrAbortHandler)
 	}
 	f := refusal{status: http.StatusServiceUnavailable, code: s.stopReason, retryAfter: s.retryAfter}
@@ -314,7 +320,7 @@
 	countAttempt(m.verdict)
 	switch {
 	case m.verdict == verdictAnswered:
-		if !s.headSent {
+		if !s.headSent.Load() {
 			s.sendHead(m.head)
 		}
 		return failover.StepWait
@@ -340,7 +346,7 @@
 		s.g.o.Logger.Info("attempt ended", "id", s.r.ID, "upstream", p.upstream.ID, "data_centre", p.upstream.DataCentre,
 			"verdict", m.verdict.String(), "restore", p.restoreFrom != nil, "took", now.Sub(s.r.arrivedAt), "cause", m.err)
 		return failover.StepRestart
-	case m.verdict == verdictErred && !s.headSent && !s.mayRunAgain():
+	case m.verdict == verdictErred && !s.headSent.Load() && !s.mayRunAgain():
 		if !errors.Is(m.err, errPauseAsked) {
 			s.g.recordOutcome(s.r, p.upstream, true, began)
 		}
@@ -359,7 +365,7 @@
 // sendHead forwards the head of the first run's response; later runs do not
 // send another one.
 func (s *stream) sendHead(h http.Header) {
-	s.headSent = true
+	s.headSent.Store(true)
 	s.headSentAt = time.Now()
 	RemoveConnectionHeaders(h)
 	copyHeader(s.w.Header(), h)
@@ -378,7 +384,7 @@
 	}
 	s.lastEventAt = now
 	s.lastEventID = max(s.lastEventID, m.event.ID)
-	if !s.headSent {
+	if !s.headSent.Load() {
 		s.sendHead(m.head)
 	}
 	if _, err := s.w.Write(m.event.Bytes); err != nil {
