cli: a signal to stop is not lost behind other signals, nor behind a read of the settings

A gateway daemon that was sent SIGTERM after a series of SIGHUPs did not stop: it went on serving and was killed at the end of its grace with all requests that it held. Their callers got no answer.

Cause: one channel with room for four signals took both kinds, and os/signal drops what finds no room. The goroutine that received from it also read the settings file, so that a slow read held up a stop.

Change: signals to stop and SIGHUP have a channel each, with room for one; a second signal of a kind says nothing new. The settings are followed by a goroutine of their own, which a stop does not wait for.

Looked for elsewhere: 'serve' has a channel with room for two, and only signals to stop in it.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -63,9 +63,13 @@
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(runtimeMemoryLimit(s.MemoryMB))
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	// Each channel has room for one signal: a second one of the same kind, while the first
+	// waits, would say nothing new. In one channel, a signal to stop could find no room.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(stop)
+	defer signal.Stop(reload)
 	d, err := edge.New(edge.Options{
 		Settings: s, Store: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger,
 	})
@@ -78,27 +82,61 @@
 	watching, stopWatching := context.WithCancel(e.ctx)
 	defer stopWatching()
 	go telemetry.WatchStalls(watching, telemetry.RecordStalls(telemetry.WithPart(logger, "edge")))
-	settingsPoll := time.NewTicker(settingsPollInterval)
-	defer settingsPoll.Stop()
-	for stop := false; !stop; {
+	w := settingsWatcher{daemon: d, log: telemetry.WithPart(logger, "edge"), path: config, modTime: knownModTime}
+	go w.run(watching, reload)
+	select {
+	case sig := <-stop:
+		logSignal(w.log, sig)
+	case <-e.ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), d.StopGrace()+stopMargin)
+	defer cancel()
+	return d.Stop(ctx)
+}
+
+func logSignal(log *slog.Logger, s os.Signal) { log.Info("signal received", "signal", s.String()) }
+
+// settingsWatcher applies the settings file whenever it changes. It has a goroutine of its
+// own, so that a stop does not wait for a file that cannot be read.
+type settingsWatcher struct {
+	daemon *edge.Edge
+	log    *slog.Logger
+	path   string
+	// modTime is the modification time of the file before it was read last.
+	modTime time.Time
+}
+
+// run reads the file again on each signal, and when its modification time changes, until
+// the context ends.
+func (w *settingsWatcher) run(ctx context.Context, reload <-chan os.Signal) {
+	poll := time.NewTicker(settingsPollInterval)
+	defer poll.Stop()
+	for {
 		select {
-		case sig := <-signals:
-			telemetry.WithPart(logger, "edge").Info("signal received", "signal", sig.String())
-			if stop = sig != syscall.SIGHUP; !stop {
-				s = reload(d, logger, config, s)
+		case sig := <-reload:
+			logSignal(w.log, sig)
+			w.reload()
+		case <-poll.C:
+			if m := modTime(w.path); !m.Equal(w.modTime) {
+				w.modTime = m
+				w.reload()
 			}
-		case <-settingsPoll.C:
-			if m := modTime(config); !m.Equal(knownModTime) {
-				knownModTime = m
-				s = reload(d, logger, config, s)
-			}
-		case <-e.ctx.Done():
-			stop = true
+		case <-ctx.Done():
+			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), s.StopGrace+stopMargin)
-	defer cancel()
-	return d.Stop(ctx)
+}
+
+// reload applies the settings of the file. The current ones stay in force if it cannot be
+// read.
+func (w *settingsWatcher) reload() {
+	s, err := platform.ReadSettings(w.path)
+	if err != nil {
+		w.log.Error("settings not read; keeping the current ones", "cause", err)
+		return
+	}
+	w.daemon.Apply(s)
+	w.log.Info("settings read again", "grace", s.StopGrace, "repeat_ratio", s.RetryRatio, "repeat_slack", s.RetrySlack)
 }
 
 // modTime returns the modification time of a file, zero when it cannot be read.
@@ -110,17 +148,3 @@
 	}
 	return info.ModTime()
 }
-
-// reload reads the settings file again and returns the settings in force: those of
-// the file, or the current ones when it cannot be read.
-func reload(d *edge.Edge, logger *slog.Logger, config string, current edge.Settings) edge.Settings {
-	log := telemetry.WithPart(logger, "edge")
-	s, err := platform.ReadSettings(config)
-	if err != nil {
-		log.Error("settings not read; keeping the current ones", "cause", err)
-		return current
-	}
-	d.Apply(s)
-	log.Info("settings read again", "grace", s.StopGrace, "repeat_ratio", s.RetryRatio, "repeat_slack", s.RetrySlack)
-	return s
-}
--- a/cli/gateway_test.go
+++ b/cli/gateway_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime/debug"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -105,6 +107,40 @@
 		Eventually(code, "8s").Should(Receive(Equal(cli.ExitOK)))
 	})
 
+	// startProcess runs the gateway command in a process of its own.
+	startProcess := func(path string, stdout io.Writer) *exec.Cmd {
+		GinkgoHelper()
+		self, err := os.Executable()
+		Expect(err).NotTo(HaveOccurred())
+		cmd := exec.Command(self, "gateway", "--config", path)
+		cmd.Env = append(os.Environ(), runCommandVariable+"=1")
+		cmd.Stdout = stdout
+		Expect(cmd.Start()).To(Succeed())
+		DeferCleanup(func() { _ = cmd.Process.Kill() })
+		return cmd
+	}
+
+	// Guards against a daemon that does not notice SIGTERM because other signals wait, or
+	// because it still reads its settings, and is killed with all requests that it holds.
+	It("stops on a SIGTERM that follows many SIGHUPs, also while settings cannot be read", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
+		Expect(os.WriteFile(path, []byte(settings(3)), 0o600)).To(Succeed())
+		out := gbytes.NewBuffer()
+		cmd := startProcess(path, out)
+		Eventually(out, "10s").Should(gbytes.Say("daemon started"))
+		// A read of the settings lasts until somebody writes into the pipe.
+		Expect(os.Remove(path)).To(Succeed())
+		Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
+		for range 1000 {
+			Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		}
+		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(out, "5s").Should(gbytes.Say(`"msg":"stopping"`))
+		exited := make(chan error, 1)
+		go func() { exited <- cmd.Wait() }()
+		Eventually(exited, "10s").Should(Receive(BeNil()))
+	})
+
 	It("fails when its address is in use", func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -130,6 +130,9 @@
 	e.gateway.SetRetryBudget(s.budget())
 }
 
+// StopGrace returns the time that a stop may take.
+func (e *Edge) StopGrace() time.Duration { return time.Duration(e.grace.Load()) }
+
 // Start opens the listeners and begins to follow the store.
 func (e *Edge) Start(ctx context.Context) error { return e.app.Start(ctx) }
 
@@ -231,7 +234,7 @@
 // grace period. The last answer on each connection closes it; idle connections are kept
 // until the balancer has noticed the stop, as their next request may be on its way.
 func (e *Edge) stop(ctx context.Context) error {
-	plan := drain.Plan{Began: time.Now(), Grace: time.Duration(e.grace.Load())}
+	plan := drain.Plan{Began: time.Now(), Grace: e.StopGrace()}
 	log := telemetry.WithPart(e.o.Logger, "edge")
 	log.Info("stopping", "grace", plan.Grace)
 	e.stopping.Store(true)
