cli: a daemon goes on when the reader of its log goes away

A daemon whose standard output is a pipe ended with the next line of its log once nobody held the pipe's other end: exit 141, SIGPIPE, and all requests that it held ended without an answer.

Cause: the Go runtime raises SIGPIPE for writes to file descriptors 1 and 2 that fail with EPIPE, unless the signal is handled. The log drops lines rather than block, but it did not expect this.

Change: 'gateway' and 'serve' ignore SIGPIPE. The line is lost, as one that finds no room.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -103,6 +105,10 @@
 	return name, ExitOK, false
 }
 
+// ignoreBrokenPipes keeps the process alive when the reader of its standard output or
+// standard error goes away. Without it the next line of the log ends the process.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // readFile reads a file that is named on the command line. Its error has the code
 // ExitUsage.
 func readFile(path string) ([]byte, error) {
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -57,6 +57,7 @@
 // runGateway runs a daemon until a signal to stop or the end of the context.
 // knownModTime is the modification time of the settings file before it was read.
 func runGateway(e env, s edge.Settings, config string, knownModTime time.Time) error {
+	ignoreBrokenPipes()
 	out := telemetry.NewAsyncWriter(e.stdout)
 	defer out.Close()
 	logger := slog.New(telemetry.NewJSONHandler(out))
--- a/cli/gateway_test.go
+++ b/cli/gateway_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -141,6 +143,51 @@
 		Eventually(exited, "10s").Should(Receive(BeNil()))
 	})
 
+	// startWithPipe starts a process whose log goes to a pipe, and returns the reader and the
+	// address for clients.
+	startWithPipe := func() (cmd *exec.Cmd, log *os.File, address string) {
+		GinkgoHelper()
+		path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
+		Expect(os.WriteFile(path, []byte(settings(3)), 0o600)).To(Succeed())
+		log, in, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = log.Close() })
+		cmd = startProcess(path, in)
+		Expect(in.Close()).To(Succeed())
+		for lines := bufio.NewScanner(log); address == "" && lines.Scan(); {
+			var line struct{ Clients string }
+			Expect(json.Unmarshal(lines.Bytes(), &line)).To(Succeed())
+			address = line.Clients
+		}
+		return cmd, log, address
+	}
+	// request gets a refusal, as there is no configuration; each is logged.
+	request := func(address string) {
+		GinkgoHelper()
+		res, err := http.Get("http://" + address + "/x")
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	}
+	stopInOrder := func(cmd *exec.Cmd) {
+		GinkgoHelper()
+		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		exited := make(chan error, 1)
+		go func() { exited <- cmd.Wait() }()
+		Eventually(exited, "10s").Should(Receive(BeNil()))
+	}
+
+	// Guards against a daemon that ends with all requests that it holds, because the process
+	// that read its log has ended.
+	It("goes on when the reader of its log goes away", func() {
+		cmd, log, address := startWithPipe()
+		Expect(log.Close()).To(Succeed())
+		for range 5 {
+			request(address)
+		}
+		stopInOrder(cmd)
+	})
+
 	It("fails when its address is in use", func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -40,6 +40,7 @@
 // serve runs a daemon until a signal or the end of the context, and then drains it.
 // A second signal ends the drain.
 func serve(e env, s *settings.Settings) error {
+	ignoreBrokenPipes()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
