cli, telemetry: a stop ends within its grace when nobody reads the log

A gateway daemon whose log goes to a pipe that is full and that nobody reads did not end after SIGTERM: it was killed at the end of its grace, and its restart came as late. All requests were answered by then.

Cause: the process waited without a bound for the last lines of its log to be written.

Change: it waits 250 ms, less than a stop leaves of its grace. What is not written then is lost.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -22,6 +22,10 @@
 // longer waits for it.
 const stopMargin = time.Second
 
+// logFlushTimeout bounds the writing of the last lines of the log. It is shorter than what a
+// stop leaves of its grace.
+const logFlushTimeout = 250 * time.Millisecond
+
 // settingsPollInterval is the time between two checks of the settings file for a
 // change, because it may change without a signal.
 const settingsPollInterval = 2 * time.Second
@@ -59,7 +63,7 @@
 func runGateway(e env, s edge.Settings, config string, knownModTime time.Time) error {
 	ignoreBrokenPipes()
 	out := telemetry.NewAsyncWriter(e.stdout)
-	defer out.Close()
+	defer out.CloseWithin(logFlushTimeout)
 	logger := slog.New(telemetry.NewJSONHandler(out))
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(runtimeMemoryLimit(s.MemoryMB))
--- a/cli/gateway_test.go
+++ b/cli/gateway_test.go
@@ -143,6 +143,8 @@
 		Eventually(exited, "10s").Should(Receive(BeNil()))
 	})
 
+	// pipeBytes is the room of a pipe on Linux.
+	const pipeBytes = 64 << 10
 	// startWithPipe starts a process whose log goes to a pipe, and returns the reader and the
 	// address for clients.
 	startWithPipe := func() (cmd *exec.Cmd, log *os.File, address string) {
@@ -188,6 +190,20 @@
 		stopInOrder(cmd)
 	})
 
+	// Guards against a stop that does not end before the process is killed, because nobody
+	// reads the last lines of the log.
+	It("stops within its grace when nobody reads its log", func() {
+		cmd, log, address := startWithPipe()
+		// More lines than the pipe holds.
+		for range 2 * pipeBytes / 200 {
+			request(address)
+		}
+		began := time.Now()
+		stopInOrder(cmd)
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+		Expect(log.Close()).To(Succeed())
+	})
+
 	It("fails when its address is in use", func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -69,6 +69,20 @@
 	<-a.done
 }
 
+// CloseWithin does the same, but gives the buffered lines up when they are not written
+// within d. It reports whether all were written.
+func (a *AsyncWriter) CloseWithin(d time.Duration) bool {
+	close(a.stop)
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-a.done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 func (a *AsyncWriter) run(w io.Writer) {
 	defer close(a.done)
 	out := lineWriter{a: a, w: w}
--- a/telemetry/async_test.go
+++ b/telemetry/async_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/telemetry"
 )
@@ -56,3 +57,20 @@
 		t.Errorf("the log holds %q", out.String())
 	}
 }
+
+// Guards against a process that does not end because nobody reads its log.
+func TestAsyncWriterGivesUpLinesThatNobodyReads(t *testing.T) {
+	w := &blockingWriter{release: make(chan struct{})}
+	a := telemetry.NewAsyncWriter(w)
+	fmt.Fprintln(a, "line")
+	if a.CloseWithin(time.Millisecond) {
+		t.Error("the line counts as written")
+	}
+	close(w.release)
+
+	a = telemetry.NewAsyncWriter(&bytes.Buffer{})
+	fmt.Fprintln(a, "line")
+	if !a.CloseWithin(time.Hour) {
+		t.Error("the line counts as given up")
+	}
+}
