internal/clientconn: connections of clients are closed by a package of their own

Moved out of edge, so that the product's own daemon can use it too. The gateway asks the connection of a request itself in place of an interface that only edge implemented. No change of behaviour; the tests move along.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/failover"
 	"github.com/gooseberryroad/gooseberryroad/gateway"
+	"github.com/gooseberryroad/gooseberryroad/internal/clientconn"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/relay"
 	"github.com/gooseberryroad/gooseberryroad/sources"
@@ -61,14 +62,13 @@
 
 // Edge is one gateway process.
 type Edge struct {
-	o        Options
-	app      *fx.App
-	follower *directory.Follower
-	gateway  *gateway.Gateway
-	pool     *upstream.Pool
-	clients  *http.Server
-	// connections tracks the connections of clients.
-	connections connectionTracker
+	o           Options
+	app         *fx.App
+	follower    *directory.Follower
+	gateway     *gateway.Gateway
+	pool        *upstream.Pool
+	clients     *http.Server
+	connections *clientconn.Tracker
 	// accepted is closed when no more connections of clients are accepted.
 	accepted  chan struct{}
 	listeners []net.Listener
@@ -149,12 +149,12 @@
 func (e *Edge) start(context.Context) error {
 	runCtx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	e.connections.log = telemetry.WithPart(e.o.Logger, "clients")
+	e.connections = clientconn.NewTracker(telemetry.WithPart(e.o.Logger, "clients"))
 	e.clients = &http.Server{
-		Handler: countTaken(e.gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: e.connections.connStateChanged, ConnContext: connContext,
+		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(telemetry.WithPart(e.o.Logger, "clients").Handler(), slog.LevelInfo),
 	}
+	e.connections.Attach(e.clients)
 	s := e.o.Settings
 	servers := []struct {
 		address string
@@ -177,7 +177,7 @@
 		if v.server == e.clients {
 			go func() {
 				defer close(e.accepted)
-				e.serve(e.clients, trackedListener{l, &e.connections})
+				e.serve(e.clients, e.connections.Listener(l))
 			}()
 			continue
 		}
@@ -239,11 +239,12 @@
 	log.Info("stopping", "grace", plan.Grace)
 	e.stopping.Store(true)
 	e.gateway.Drain(plan)
+	closes := func(c drain.Connection) bool { return plan.ClosesConnection(c, time.Now()) }
 	for ctx.Err() == nil && !plan.ShouldClose(e.gateway.RunningStreams(), time.Now()) {
-		e.connections.closeUnused(plan, time.Now())
+		e.connections.CloseUnused(closes)
 		pause.For(ctx, drainPollInterval)
 	}
-	err := e.closeConnections(ctx, plan)
+	err := e.closeConnections(ctx, plan, closes)
 	e.cancel()
 	for _, l := range e.listeners {
 		// The client listener is closed already.
@@ -255,17 +256,13 @@
 
 // closeConnections accepts no further connections of clients, and closes the open ones as
 // their requests are answered. At the plan's deadline, or when ctx ends, it closes the rest.
-func (e *Edge) closeConnections(ctx context.Context, plan drain.Plan) error {
+func (e *Edge) closeConnections(ctx context.Context, plan drain.Plan, closes func(drain.Connection) bool) error {
 	ctx, cancel := context.WithDeadline(ctx, plan.Deadline())
 	defer cancel()
 	// The server reports the error of a listener that is closed to serve.
 	_ = e.listeners[0].Close()
 	<-e.accepted
-	open := e.connections.closeUnused(plan, time.Now())
-	for open > 0 && pause.For(ctx, drainPollInterval) {
-		open = e.connections.closeUnused(plan, time.Now())
-	}
-	if open > 0 {
+	if open := e.connections.CloseAll(ctx, closes); open > 0 {
 		telemetry.WithPart(e.o.Logger, "edge").Warn("requests cut at the end of the grace period", "connections", open)
 	}
 	return eris.Wrap(e.clients.Close(), "close the connections of clients")
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
+	"github.com/gooseberryroad/gooseberryroad/internal/clientconn"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
@@ -60,7 +61,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	arrived := time.Now()
 	call := g.o.Protocol.DecodeRequest(hr)
-	call.connection = ConnectionOf(hr.Context())
+	call.connection = clientconn.FromContext(hr.Context())
 	plan := g.drainPlan.Load()
 	view := g.o.Directory.View()
 	if !view.Ready && plan == nil {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/failover"
+	"github.com/gooseberryroad/gooseberryroad/internal/clientconn"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
@@ -35,7 +36,7 @@
 	Header http.Header
 	Body   []byte
 	// connection is nil if it is not known.
-	connection Connection
+	connection *clientconn.Conn
 }
 
 // Attempt is what one upstream is told in addition to the client's own header.
--- a/edge/connections.go
+++ b/internal/clientconn/clientconn.go
@@ -1,4 +1,7 @@
-package edge
+// Package clientconn closes the connections of clients when a server stops, without losing a
+// request that has arrived. http.Server.Shutdown counts a connection as idle until the whole
+// head of the next request was read, and drops requests that are read after it was called.
+package clientconn
 
 import (
 	"context"
@@ -15,26 +18,58 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gooseberryroad/gooseberryroad/drain"
-	"github.com/gooseberryroad/gooseberryroad/gateway"
+	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 )
 
+// pollInterval is the time between two looks at the connections in CloseAll.
+const pollInterval = 20 * time.Millisecond
+
 // droppedRequests counts the requests that had arrived, whole or in part, on connections
 // that a stop closed before it took them.
 var droppedRequests = metrics.NewCounter("gooseberryroad_client_requests_dropped_total")
 
-// connectionTracker closes client connections when the daemon stops. http.Server.Shutdown
-// is not used for that: it counts a connection as idle until the whole head of the next
-// request was read, and drops requests that are read after it was called.
-type connectionTracker struct {
+// Tracker tracks the open connections of one http.Server.
+type Tracker struct {
+	log      *slog.Logger
 	mu       sync.Mutex
-	open     map[*trackedConnection]struct{}
+	open     map[*Conn]struct{}
 	stopping bool
-	// log is nil in tests.
-	log *slog.Logger
 }
 
-// trackedConnection is a connection of a client.
-type trackedConnection struct {
+// NewTracker returns a tracker without connections.
+func NewTracker(log *slog.Logger) *Tracker {
+	return &Tracker{log: log, open: map[*Conn]struct{}{}}
+}
+
+// Attach makes a server, which must not have begun to serve, report its connections. The
+// server must serve only listeners that Listener returned.
+func (t *Tracker) Attach(s *http.Server) {
+	s.ConnState = t.connStateChanged
+	s.Handler = countTaken(s.Handler)
+	next := s.ConnContext
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, nc)
+		}
+		return context.WithValue(ctx, connKey{}, nc)
+	}
+}
+
+// Listener returns a listener whose connections are tracked.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return trackedListener{l, t} }
+
+// connKey is the key of a request's Conn in its context.
+type connKey struct{}
+
+// FromContext returns the connection of a request with the given context; nil if it is not
+// tracked.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// Conn is a connection of a client.
+type Conn struct {
 	net.Conn
 	mu sync.Mutex
 	// active says that net/http reported last that a request is being answered.
@@ -49,10 +84,9 @@
 	lost bool
 }
 
-// trackedListener wraps the connections that it accepts in trackedConnection.
 type trackedListener struct {
 	net.Listener
-	tracker *connectionTracker
+	tracker *Tracker
 }
 
 // Accept implements net.Listener.
@@ -61,19 +95,16 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &trackedConnection{Conn: c, unusedSince: time.Now()}
+	out := &Conn{Conn: c, unusedSince: time.Now()}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
-	if l.tracker.open == nil {
-		l.tracker.open = map[*trackedConnection]struct{}{}
-	}
 	l.tracker.open[out] = struct{}{}
 	return out, nil
 }
 
 // Read implements net.Conn. It discards bytes that arrive after the connection
 // was closed by the tracker.
-func (c *trackedConnection) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,42 +121,54 @@
 
 // CloseWrite lets net/http end a response before the client has sent its whole
 // body.
-func (c *trackedConnection) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		return t.CloseWrite()
 	}
 	return nil
 }
 
-// NextRequestArrived implements gateway.Connection.
-func (c *trackedConnection) NextRequestArrived() bool {
+// SetWriteBuffer sets the size of the kernel's send buffer in bytes.
+func (c *Conn) SetWriteBuffer(bytes int) error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.SetWriteBuffer(bytes)
+	}
+	return nil
+}
+
+// NextRequestArrived reports whether bytes of a request have arrived that follows those
+// which were passed to the handler. It is false for a nil connection, which is not known.
+func (c *Conn) NextRequestArrived() bool {
+	if c == nil {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.requests.begun > c.taken
 }
 
 // take counts a request that is passed to the handler.
-func (c *trackedConnection) take() {
+func (c *Conn) take() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.taken++
 }
 
-// closeIfUnused closes the connection if the plan of the stop says so.
-func (c *trackedConnection) closeIfUnused(plan drain.Plan, now time.Time) {
+// closeIfUnused closes the connection if closes reports so.
+func (c *Conn) closeIfUnused(closes func(drain.Connection) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state := drain.Connection{
 		Unanswered:  c.active || c.requests.begun > c.taken || hasUnreadBytes(c.Conn),
 		UnusedSince: c.unusedSince,
 	}
-	if plan.ClosesConnection(state, now) {
+	if closes(state) {
 		c.close()
 	}
 }
 
 // close closes the connection. The caller holds c.mu.
-func (c *trackedConnection) close() {
+func (c *Conn) close() {
 	if c.closed {
 		return
 	}
@@ -156,8 +199,11 @@
 }
 
 // connStateChanged is the ConnState hook of the http.Server.
-func (t *connectionTracker) connStateChanged(nc net.Conn, s http.ConnState) {
-	c := nc.(*trackedConnection)
+func (t *Tracker) connStateChanged(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return // its listener is not tracked
+	}
 	c.mu.Lock()
 	c.active = s == http.StateActive
 	if s == http.StateIdle {
@@ -175,22 +221,33 @@
 	}
 }
 
-// closeUnused closes the connections that the plan of a stop no longer keeps, and returns
-// the number of those that were open.
-func (t *connectionTracker) closeUnused(plan drain.Plan, now time.Time) int {
+// CloseUnused closes the connections for which closes reports so, and returns the number of
+// those that were open. From its first call on the tracker counts the requests that are
+// dropped with their connections.
+func (t *Tracker) CloseUnused(closes func(drain.Connection) bool) int {
 	t.mu.Lock()
 	t.stopping = true
 	open := slices.Collect(maps.Keys(t.open))
 	t.mu.Unlock()
 	for _, c := range open {
-		c.closeIfUnused(plan, now)
+		c.closeIfUnused(closes)
 	}
 	return len(open)
 }
 
+// CloseAll calls CloseUnused until no connection is open, and returns the number of those
+// that are still open when ctx ends.
+func (t *Tracker) CloseAll(ctx context.Context, closes func(drain.Connection) bool) int {
+	open := t.CloseUnused(closes)
+	for open > 0 && pause.For(ctx, pollInterval) {
+		open = t.CloseUnused(closes)
+	}
+	return open
+}
+
 // recordDropped counts and logs the requests that had arrived on a connection when a stop
 // closed it, and that were not passed to the handler.
-func (t *connectionTracker) recordDropped(c *trackedConnection) {
+func (t *Tracker) recordDropped(c *Conn) {
 	c.mu.Lock()
 	dropped := c.requests.begun - c.taken
 	if c.lost {
@@ -201,21 +258,14 @@
 		return
 	}
 	droppedRequests.Add(dropped)
-	if t.log != nil {
-		t.log.Warn("requests dropped with their connection", "client", c.RemoteAddr().String(), "requests", dropped)
-	}
-}
-
-// connContext is the ConnContext hook of the http.Server.
-func connContext(ctx context.Context, nc net.Conn) context.Context {
-	return gateway.WithConnection(ctx, nc.(*trackedConnection))
+	t.log.Warn("requests dropped with their connection", "client", c.RemoteAddr().String(), "requests", dropped)
 }
 
 // countTaken returns a handler that counts the requests of each connection that it passes
 // to next.
 func countTaken(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := gateway.ConnectionOf(r.Context()).(*trackedConnection); ok {
+		if c := FromContext(r.Context()); c != nil {
 			c.take()
 		}
 		next.ServeHTTP(w, r)
--- a/edge/connections_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -1,7 +1,8 @@
-package edge
+package clientconn
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
@@ -13,16 +14,16 @@
 	"github.com/gooseberryroad/gooseberryroad/drain"
 )
 
-func TestEdge(t *testing.T) {
+func TestClientConn(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "edge")
+	RunSpecs(t, "clientconn")
 }
 
 // Guards against a request that is read and forwarded while a stop closes its
 // persistent connection, so that an order runs and its client gets no response.
-var _ = Describe("connectionTracker", func() {
-	var tracker *connectionTracker
-	var c *trackedConnection
+var _ = Describe("Tracker", func() {
+	var tracker *Tracker
+	var c *Conn
 	var client net.Conn
 	read := func() (string, error) {
 		b := make([]byte, 4096)
@@ -54,10 +55,10 @@
 		DeferCleanup(l.Close)
 		client, err = net.Dial("tcp4", l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
-		tracker = &connectionTracker{}
-		accepted, err := trackedListener{l, tracker}.Accept()
+		tracker = NewTracker(slog.New(slog.DiscardHandler))
+		accepted, err := tracker.Listener(l).Accept()
 		Expect(err).NotTo(HaveOccurred())
-		c = accepted.(*trackedConnection)
+		c = accepted.(*Conn)
 		DeferCleanup(func() {
 			_ = client.Close()
 			_ = c.Close()
@@ -70,7 +71,8 @@
 	// as the last unused connections are closed.
 	closeUnused := func() int {
 		now := time.Now()
-		return tracker.closeUnused(drain.Plan{Began: now, Grace: time.Minute}, now.Add(30*time.Second))
+		plan := drain.Plan{Began: now, Grace: time.Minute}
+		return tracker.CloseUnused(func(c drain.Connection) bool { return plan.ClosesConnection(c, now.Add(30*time.Second)) })
 	}
 
 	It("closes unused connections when the daemon stops", func() {
@@ -83,7 +85,7 @@
 	})
 
 	It("closes a connection that was opened and never used", func() {
-		*c = trackedConnection{Conn: c.Conn, unusedSince: c.unusedSince}
+		*c = Conn{Conn: c.Conn, unusedSince: c.unusedSince}
 		closeUnused()
 		Expect(io.ReadAll(client)).To(BeEmpty())
 	})
--- a/edge/framing_test.go
+++ b/internal/clientconn/framing_test.go
@@ -1,4 +1,4 @@
-package edge
+package clientconn
 
 import (
 	"bufio"
