daemon: a stop answers requests that arrive on open connections

The product's own daemon lost requests as the gateway did: a request whose head was completed after the stop had closed the listener was read whole and dropped, and so were requests pipelined behind an answer. Callers of plain services cannot know whether such a call ran.

Change: the daemon closes the listener and its connections as the gateway does, with internal/clientconn. Refusals of a stopping daemon close their connection unless the next request has arrived on it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,8 +24,10 @@
 
 	"github.com/gooseberryroad/gooseberryroad/control"
 	"github.com/gooseberryroad/gooseberryroad/cursor"
+	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/engine"
 	"github.com/gooseberryroad/gooseberryroad/entry"
+	"github.com/gooseberryroad/gooseberryroad/internal/clientconn"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/kernel"
 	"github.com/gooseberryroad/gooseberryroad/membership"
@@ -58,8 +60,13 @@
 	callerServer   *http.Server
 	operatorServer *http.Server
 	listeners      listeners
-	cancel         context.CancelFunc
-	endRequested   atomic.Bool
+	connections    *clientconn.Tracker
+	// accepted is closed when no more connections of callers are accepted.
+	accepted     chan struct{}
+	cancel       context.CancelFunc
+	endRequested atomic.Bool
+	// refusing is set once a stopping daemon refuses new requests.
+	refusing atomic.Bool
 	// done is closed when the control loop has ended.
 	done chan struct{}
 }
@@ -84,7 +91,11 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	gin.SetMode(gin.ReleaseMode)
-	d := &Daemon{settings: o.Settings, log: telemetry.WithPart(o.Logger, "daemon"), done: make(chan struct{})}
+	log := telemetry.WithPart(o.Logger, "daemon")
+	d := &Daemon{
+		settings: o.Settings, log: log, connections: clientconn.NewTracker(log),
+		accepted: make(chan struct{}), done: make(chan struct{}),
+	}
 	ln, err := listen(o.Settings.Daemon)
 	if err != nil {
 		return nil, err
@@ -285,16 +296,28 @@
 	mux.Handle(plain.Prefix, p)
 	mux.Handle("/", e.Handler())
 	d.callerServer = &http.Server{
-		Handler:           mux,
+		Handler:           d.closeAfterRefusal(mux),
 		ConnContext:       e.ConnContext,
 		ReadHeaderTimeout: 5 * time.Second,
 		MaxHeaderBytes:    32 << 10,
 		IdleTimeout:       time.Minute,
 	}
+	d.connections.Attach(d.callerServer)
 	d.operatorServer = &http.Server{Handler: op.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.drainAndClose})
 }
 
+// closeAfterRefusal returns a handler that tells callers, once the daemon refuses new
+// requests, to open another connection, unless their next request has arrived on this one.
+func (d *Daemon) closeAfterRefusal(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.refusing.Load() && !clientconn.FromContext(r.Context()).NextRequestArrived() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (d *Daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
@@ -306,14 +329,17 @@
 			d.log.Error("control loop ended with an error", "cause", err)
 		}
 	}()
-	go d.serve(d.callerServer, d.listeners.callers)
+	go func() {
+		defer close(d.accepted)
+		d.serve(d.callerServer, d.connections.Listener(d.listeners.callers))
+	}()
 	go d.serve(d.operatorServer, d.listeners.operators)
 	return nil
 }
 
 // serve serves on a listener until the server is closed.
 func (d *Daemon) serve(s *http.Server, ln net.Listener) {
-	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		d.log.Error("listener failed", "address", ln.Addr().String(), "cause", err)
 	}
 }
@@ -327,6 +353,7 @@
 	d.loop.Post(node.DrainRequested{})
 	pause.For(ctx, d.settings.Drain.Notice)
 	d.plain.StopNewCalls()
+	d.refusing.Store(true)
 	drainCtx, cancel := context.WithTimeout(ctx, d.settings.Drain.Deadline)
 	defer cancel()
 	defer context.AfterFunc(ctx, d.entry.EndAll)()
@@ -334,8 +361,11 @@
 	// Plain calls end within the timeout of their route, so the drain deadline
 	// does not apply to them. Only the end of ctx, such as after a second signal,
 	// cuts them off.
-	if err := d.callerServer.Shutdown(ctx); err != nil {
-		d.log.Warn("drain cancelled; running plain calls were cut off", "cause", err)
+	// The server reports the error of a listener that is closed to serve.
+	_ = d.listeners.callers.Close()
+	<-d.accepted
+	if open := d.connections.CloseAll(ctx, func(c drain.Connection) bool { return c.Unused(time.Now()) }); open > 0 {
+		d.log.Warn("drain cancelled; running plain calls were cut off", "connections", open, "cause", ctx.Err())
 	}
 	if err := d.plain.Drain(ctx); err != nil {
 		d.log.Warn("drain cancelled; some claims were not settled", "cause", err)
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -80,12 +80,18 @@
 	UnusedSince time.Time
 }
 
+// Unused reports whether no request has arrived on the connection that is not answered, and
+// none is likely to be on its way.
+func (c Connection) Unused(now time.Time) bool {
+	return !c.Unanswered && now.Sub(c.UnusedSince) >= unusedPeriod
+}
+
 // ClosesConnection reports whether a connection is closed now. One on which a request has
 // arrived is never closed before the deadline: the request would be lost. Until the balancer
 // has noticed the stop, unused ones are kept too: their clients use most of them soon, and
 // the answer tells them to open another one, while a close may cross a request.
 func (p Plan) ClosesConnection(c Connection, now time.Time) bool {
-	return !c.Unanswered && now.Sub(c.UnusedSince) >= unusedPeriod && !now.Before(p.Began.Add(StreamAcceptPeriod))
+	return c.Unused(now) && !now.Before(p.Began.Add(StreamAcceptPeriod))
 }
 
 // Chain returns what a stop does at least, one after the other, before the process is
