gateway: a refusal in a stop keeps its connection for the request behind an unread body

A request with a body that a stop refuses before reading it (404, 401, stopping) closed its connection although the next request had arrived behind the body: that one was reset or got an EOF.

Cause: the requests that have arrived were counted in the bytes that net/http had read, and it had not read the body yet. What waits in the kernel did not count either.

Change: in a stop the rest of a refused body is read before the refusal is written, within the bounds for it (1 MiB, one second); bytes that wait in the kernel count as arrived.

--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -57,7 +57,8 @@
 // the connection, net/http closes it with the rest unread. That resets the
 // connection, and the reset can reach a client that is still sending before the
 // client has read the response. The rest is therefore read here, up to
-// maxDiscardBytes.
+// maxDiscardBytes. In a stop it is read first: what follows it decides whether the
+// response closes the connection.
 func (g *Gateway) refuseWithUnreadBody(w http.ResponseWriter, hr *http.Request, call *Call, r refusal) {
 	if hr.ContentLength == 0 {
 		g.refuse(w, call, r)
@@ -66,14 +67,24 @@
 	rc := http.NewResponseController(w)
 	// The error is ignored: only the connections of tests lack deadlines.
 	_ = rc.SetReadDeadline(time.Now().Add(discardTimeout))
+	waitsForContinue := hr.Header.Get("Expect") != ""
+	if g.drainPlan.Load() != nil && !waitsForContinue {
+		g.discardBody(hr, call)
+		g.refuse(w, call, r)
+		return
+	}
 	g.refuse(w, call, r)
-	if !hr.Close || hr.Header.Get("Expect") != "" {
+	if !hr.Close || waitsForContinue {
 		return
 	}
 	if err := rc.Flush(); err != nil {
 		g.o.Logger.Info("refusal not delivered", "id", call.ID, "cause", err)
 		return
 	}
+	g.discardBody(hr, call)
+}
+
+func (g *Gateway) discardBody(hr *http.Request, call *Call) {
 	if n, err := io.CopyN(io.Discard, hr.Body, maxDiscardBytes); !errors.Is(err, io.EOF) {
 		g.o.Logger.Info("body of a refused request not read to its end", "id", call.ID, "bytes", n, "cause", err)
 	}
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -41,8 +41,8 @@
 	return &Tracker{log: log, open: map[*Conn]struct{}{}}
 }
 
-// Attach makes a server, which must not have begun to serve, report its connections. The
-// server must serve only listeners that Listener returned.
+// Attach makes a server, whose Handler and ConnContext are set and which has not begun to
+// serve, report its connections. The server must serve only listeners that Listener returned.
 func (t *Tracker) Attach(s *http.Server) {
 	s.ConnState = t.connStateChanged
 	s.Handler = countTaken(s.Handler)
@@ -136,15 +136,16 @@
 	return nil
 }
 
-// NextRequestArrived reports whether bytes of a request have arrived that follows those
-// which were passed to the handler. It is false for a nil connection, which is not known.
+// NextRequestArrived reports whether bytes have arrived that follow the requests which were
+// passed to the handler. The handler must have read the body of its request: bytes of it
+// count too. It is false for a nil connection, which is not known.
 func (c *Conn) NextRequestArrived() bool {
 	if c == nil {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.requests.begun > c.taken
+	return c.requests.begun > c.taken || hasUnreadBytes(c.Conn)
 }
 
 // take counts a request that is passed to the handler.
@@ -179,7 +180,7 @@
 }
 
 // hasUnreadBytes reports whether bytes have arrived that nobody has read yet, for example
-// because the process was stopped.
+// because the process was suspended.
 func hasUnreadBytes(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
