soak: direct clients on the daemons' own addresses

Cause: every caller of the soak reaches its daemon through a proxy, as an http.Client with one connection. What the daemon's own socket does around a stop, and clients that pipeline, send in pieces or open connections early, are never seen; a request that did not run is excused on a kept connection or after SIGTERM.

They open new ones as the users' balancer does, heed Connection: close and Retry-After, and draw work times of 80 to 400 ms for plain requests and up to 6 s before the first event of a stream. Each request has the times of its first and last byte and the end of its connection. A request that was sent whole, at a daemon that no fault affected, and got no whole answer is lost if an upstream got it or if its connection ended over 200 ms after its last byte; the others count as crossed and are printed. Excused are streams that began, at the end of a grace with an upstream at work, and requests at their timeout; never a stream without a byte before it. Faults of upstreams and the store excuse no request without any answer: the daemon can always send a failure. The load of direct clients counts in the check of free slots.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -34,6 +34,7 @@
 	cmd.Flag("engines", "Number of engines in each of the three data centres.").Default("2").IntVar(&o.EnginesPerDataCentre)
 	cmd.Flag("upstreams", "Number of upstreams for plain requests.").Default("4").IntVar(&o.PlainReplicas)
 	cmd.Flag("callers", "Number of callers; every other one sends mostly plain requests, the others mostly streams.").Default("60").IntVar(&o.Callers)
+	cmd.Flag("direct", "Number of clients that reach the daemons without a proxy.").Default(strconv.Itoa(soak.DefaultDirect)).IntVar(&o.Direct)
 	return map[string]func(env) error{cmd.FullCommand(): func(e env) error {
 		if err := o.Check(); err != nil {
 			return &ExitError{Code: ExitUsage, Err: err}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -124,7 +124,7 @@
 	res, err := c.client.Do(r)
 	if err == nil {
 		a.status = res.StatusCode
-		err = c.readAnswer(a, res)
+		err = a.readAnswer(res)
 		_ = res.Body.Close()
 	}
 	a.ended = time.Now()
@@ -145,7 +145,7 @@
 
 // readAnswer checks an answer as it arrives. It sets LastEventID to the number of
 // the last event received.
-func (c *caller) readAnswer(a *attempt, res *http.Response) error {
+func (a *attempt) readAnswer(res *http.Response) error {
 	id, sealed := platformtest.DecodeResponseHeader(res.Header)
 	if id != "" && id != a.ID {
 		a.mismatch = "the answer is to " + id
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -121,7 +121,8 @@
 type run struct {
 	id       string
 	upstream int
-	at       time.Time
+	// ended is when the upstream stopped working on it; zero if it did not.
+	at, ended time.Time
 }
 
 // drain is an upstream's announcement that it is draining, made at the time at.
@@ -148,7 +149,10 @@
 type observations struct {
 	attempts []attempt
 	runs     []run
-	drains   []drain
+	// direct and directRuns are those of direct clients.
+	direct     []directAttempt
+	directRuns []run
+	drains     []drain
 	// announcements are those that upstreams made in their answers alone.
 	announcements  []drain
 	turnedAway     []turnedAway
@@ -213,8 +217,8 @@
 	return out
 }
 
-// checkAttempt returns the promises that were broken for an attempt.
-func (obs *observations) checkAttempt(a attempt, runs []run) []string {
+// checkAnswer returns the promises without a time bound that were broken for an attempt.
+func (a attempt) checkAnswer(runs []run) []string {
 	var out []string
 	report := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
 	order := a.Kind == platformtest.Order
@@ -234,6 +238,14 @@
 	if allowed && a.status >= 400 && a.status < 500 && !notRun(a.status) {
 		report("denied")
 	}
+	return out
+}
+
+// checkAttempt returns the promises that were broken for an attempt.
+func (obs *observations) checkAttempt(a attempt, runs []run) []string {
+	out := a.checkAnswer(runs)
+	report := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	allowed := a.Key == permanentKey
 	if !obs.daemonUnaffected(a, a.ended) {
 		return out
 	}
@@ -263,12 +275,16 @@
 	return obs.faults.unaffected(Daemons, a.daemon, a.sent, to) && obs.faults.unaffected(ClientLinks, a.daemon, a.sent, to)
 }
 
-// countConcurrent sets concurrent for each attempt. Upstreams may refuse requests
-// when all their slots are used.
+// countConcurrent sets concurrent for each attempt, with the requests of direct clients.
+// Upstreams may refuse requests when all their slots are used.
 func (obs *observations) countConcurrent() {
+	all := slices.Clone(obs.attempts)
+	for _, d := range obs.direct {
+		all = append(all, d.attempt)
+	}
 	for i := range obs.attempts {
 		a := &obs.attempts[i]
-		for _, b := range obs.attempts {
+		for _, b := range all {
 			if (a.Kind == platformtest.Stream) == (b.Kind == platformtest.Stream) && b.sent.Before(a.ended) && a.sent.Before(b.ended) {
 				a.concurrent++
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,8 @@
 	// Daemons, PlainReplicas and Callers are the numbers of these components; each of
 	// the three data centres has EnginesPerDataCentre engines.
 	Daemons, PlainReplicas, Callers, EnginesPerDataCentre int
+	// Direct is the number of clients that reach the daemons without a proxy.
+	Direct int
 }
 
 func (o Options) engines() int { return o.EnginesPerDataCentre * len(dataCentres) }
@@ -67,6 +69,9 @@
 	if o.Length <= warmUp || o.Rate <= 0 || o.Daemons < 1 || o.PlainReplicas < 1 || o.Callers < 1 || o.EnginesPerDataCentre < 1 {
 		return eris.Errorf("soak: every number of components must be at least 1, the rate above 0 and the length above %s", warmUp)
 	}
+	if o.Direct < 0 {
+		return eris.New("soak: the number of direct clients must be at least 0")
+	}
 	return nil
 }
 
@@ -81,6 +86,11 @@
 	// attempts were sent to a daemon that no fault affected, so that all rules apply to
 	// them.
 	Faults, Requests, Unaffected, Complete, Refused, Incomplete int
+	// Direct is the number of requests of direct clients that were sent whole and not
+	// given up, and DirectJudged the number of those at daemons on which only planned work
+	// acted. Of the latter, Crossed got no answer because the daemon closed the connection
+	// within lossSlack.
+	Direct, DirectJudged, Crossed int
 	// Moves is the number of moves between versions that were ordered.
 	Moves int
 	// PeakMB is the largest resident memory of any daemon in MiB, sampled at each
@@ -96,8 +106,9 @@
 }
 
 func (r Outcome) String() string {
-	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d MB, %d stalls (%.1f s), %d broken",
-		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
+	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d direct (%d judged, %d crossed), %d MB, %d stalls (%.1f s), %d broken",
+		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete,
+		r.Direct, r.DirectJudged, r.Crossed, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
 	for _, v := range r.Violations {
 		s += "\n  " + v
 	}
@@ -141,6 +152,8 @@
 	// moveMu is held while the operator moves a service; moves counts the moves.
 	moveMu sync.Mutex
 	moves  int
+	// rotation follows the readiness of the daemons.
+	rotation *rotation
 	// poisonMu is held while a poison request is sent; poisonRequests counts them.
 	poisonMu       sync.Mutex
 	poisonRequests int
@@ -263,6 +276,7 @@
 	u.Replica = r
 	r.Set(func(b *platformtest.Behaviour) {
 		b.Events, b.Pause, b.EventText, b.Model, b.Slots = streamEvents, eventInterval, eventText, "m", engineSlots
+		b.Work = directWork
 		if service == "tags" {
 			b.Slots, b.ProcessingTime = plainSlots, plainProcessingTime
 		}
@@ -330,6 +344,11 @@
 		callers[i] = newCaller(s, i)
 		callersDone.Go(func() { callers[i].sendRequests(sending) })
 	}
+	s.rotation = watchRotation(watching, s.daemons)
+	for i := range s.options.Direct {
+		c := newDirectClient(s, i, directStyles[i%len(directStyles)])
+		callersDone.Go(func() { c.sendRequests(sending) })
+	}
 	began := time.Now()
 	for _, f := range DrawPlan(s.seed, s.options) {
 		if !pause.For(ctx, time.Until(began.Add(f.At))) {
@@ -367,8 +386,12 @@
 	}
 	for i, u := range s.allUpstreams() {
 		for _, received := range u.ReceivedRequests() {
-			if id := received.ID(); id[0] == 'c' { // skips the requests of the recovery check and the poison requests
-				s.observed.runs = append(s.observed.runs, run{id: id, upstream: i, at: received.At})
+			// The other IDs are those of the recovery check and of poison requests.
+			switch ran := (run{id: received.ID(), upstream: i, at: received.At, ended: received.Ended}); ran.id[0] {
+			case 'c':
+				s.observed.runs = append(s.observed.runs, ran)
+			case directPrefix:
+				s.observed.directRuns = append(s.observed.directRuns, ran)
 			}
 		}
 	}
@@ -384,6 +407,9 @@
 		r.StallTime += iv.to.Sub(iv.from)
 	}
 	r.Violations = append(r.Violations, s.observed.check()...)
+	direct := s.observed.checkDirect()
+	r.Violations = append(r.Violations, direct.violations...)
+	r.Direct, r.DirectJudged, r.Crossed = direct.sent, direct.judged, direct.crossed
 	for i, d := range s.daemons {
 		r.Violations = append(r.Violations, d.violations...)
 		for _, stop := range d.lateStops {
@@ -422,12 +448,8 @@
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
 	for end := time.Now().Add(2 * maxRecoveryTime); time.Now().Before(end); {
-		res, err := client.Get(d.ReadyURL())
-		if err == nil {
-			_ = res.Body.Close()
-			if res.StatusCode == http.StatusOK {
-				return true
-			}
+		if isReady(client, d.ReadyURL()) {
+			return true
 		}
 		if !pause.For(ctx, pollInterval) {
 			return false
