soak: planned work in series and overlapping

Cause: the soak stops one daemon at a time and sends single SIGHUPs, never during a stop. The users stop and start their machines in turn, and signals meet stops.

A stop after SIGHUPs must end within its grace as all stops.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -30,6 +30,7 @@
 	var o soak.Options
 	cmd.Flag("length", "Duration of the time in which faults begin.").Default("12s").DurationVar(&o.Length)
 	cmd.Flag("rate", "Faults per second.").Default(strconv.FormatFloat(soak.DefaultRate, 'g', -1, 64)).Float64Var(&o.Rate)
+	cmd.Flag("planned", "Planned work per second: stops in turn, bursts of SIGHUPs before a stop, signals during a stop, stops during answers, configurations.").Default(strconv.FormatFloat(soak.DefaultPlannedRate, 'g', -1, 64)).Float64Var(&o.PlannedRate)
 	cmd.Flag("daemons", "Number of daemons.").Default("4").IntVar(&o.Daemons)
 	cmd.Flag("engines", "Number of engines in each of the three data centres.").Default("2").IntVar(&o.EnginesPerDataCentre)
 	cmd.Flag("upstreams", "Number of upstreams for plain requests.").Default("4").IntVar(&o.PlainReplicas)
--- a/soak/act.go
+++ b/soak/act.go
@@ -77,6 +77,8 @@
 		switch f.Kind {
 		case RotateKey:
 			s.rotateKey()
+		case RollStops:
+			s.rollStops(ctx, f)
 		case SendPoisonRequest:
 			s.sendPoisonRequest(ctx)
 		case MoveGood, MoveBad, MoveAfterRevert:
@@ -203,10 +205,10 @@
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			switch f.Kind {
-			case Terminate:
+			switch {
+			case isPlannedStop(f.Kind):
 				s.observed.plannedStops.add(Daemons, i, interval{began, time.Now()})
-			case Kill, Pause:
+			case f.Kind == Kill, f.Kind == Pause:
 				s.observed.faults.add(Daemons, i, interval{began, time.Now()})
 			}
 		})
@@ -228,8 +230,8 @@
 	case Kill:
 		d.kill()
 		pause.For(ctx, f.Length)
-	case Terminate:
-		d.terminate()
+	default:
+		s.stopDaemon(ctx, f, d)
 	}
 	err := d.start()
 	s.awaitReady(ctx, d)
--- a/soak/direct.go
+++ b/soak/direct.go
@@ -28,6 +28,7 @@
 	pipelinedStyle   directStyle = "pipelined"   // several requests are sent before the first answer
 	freshStream      directStyle = "stream"      // a new connection for each stream
 	keptStream       directStyle = "kept-stream" // many streams on a connection, one at a time
+	answeringStyle   directStyle = "busy"        // as kept, without a time between requests
 	directPrefix                 = 'd'           // begins the IDs of direct clients' requests
 	directWorkFormat             = "work %d ms"  // begins the bodies of direct clients' requests
 )
@@ -123,7 +124,9 @@
 		if !open || c.style == freshStyle || c.style == freshStream {
 			return
 		}
-		pause.For(ctx, c.upTo(maxDirectPause))
+		if c.style != answeringStyle {
+			pause.For(ctx, c.upTo(maxDirectPause))
+		}
 	}
 }
 
--- a/soak/direct_test.go
+++ b/soak/direct_test.go
@@ -204,7 +204,7 @@
 		}
 	},
 		Entry("kept", keptStyle, false), Entry("in pieces", piecesStyle, false), Entry("early", earlyStyle, false),
-		Entry("kept streams", keptStream, false), Entry("pipelined", pipelinedStyle, true))
+		Entry("kept streams", keptStream, false), Entry("busy", answeringStyle, false), Entry("pipelined", pipelinedStyle, true))
 
 	It("sends nothing on a connection that was closed while it was idle", func() {
 		s := serve(func(c net.Conn, in *bufio.Reader) { _ = c.Close() })
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -114,6 +114,9 @@
 	// repeatShare is the probability that a fault is repeated on the same component
 	// soon after its end.
 	repeatShare = 0.2
+	// plannedSequence is the random sequence of planned work; lists of faultTypes have
+	// those from 0.
+	plannedSequence = 1 << 20
 )
 
 // DrawPlan returns the faults of a seed in the order of time. The same seed always
@@ -124,6 +127,7 @@
 		share := float64(len(list)) / float64(len(faultTypes[0]))
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, uint64(i))), list, o.Rate*share, o)...)
 	}
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, plannedSequence)), plannedWork, o.PlannedRate, o)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,8 +53,8 @@
 	Binary string
 	// Length is the time in which faults begin.
 	Length time.Duration
-	// Rate is the number of faults per second.
-	Rate float64
+	// Rate is the number of faults per second, PlannedRate that of planned work.
+	Rate, PlannedRate float64
 	// Daemons, PlainReplicas and Callers are the numbers of these components; each of
 	// the three data centres has EnginesPerDataCentre engines.
 	Daemons, PlainReplicas, Callers, EnginesPerDataCentre int
@@ -69,8 +69,8 @@
 	if o.Length <= warmUp || o.Rate <= 0 || o.Daemons < 1 || o.PlainReplicas < 1 || o.Callers < 1 || o.EnginesPerDataCentre < 1 {
 		return eris.Errorf("soak: every number of components must be at least 1, the rate above 0 and the length above %s", warmUp)
 	}
-	if o.Direct < 0 {
-		return eris.New("soak: the number of direct clients must be at least 0")
+	if o.PlannedRate < 0 || o.Direct < 0 {
+		return eris.New("soak: the rate of planned work and the number of direct clients must be at least 0")
 	}
 	return nil
 }
@@ -152,8 +152,10 @@
 	// moveMu is held while the operator moves a service; moves counts the moves.
 	moveMu sync.Mutex
 	moves  int
-	// rotation follows the readiness of the daemons.
-	rotation *rotation
+	// rotation follows the readiness of the daemons; busyClients counts the clients of
+	// stops during answers.
+	rotation    *rotation
+	busyClients atomic.Int64
 	// poisonMu is held while a poison request is sent; poisonRequests counts them.
 	poisonMu       sync.Mutex
 	poisonRequests int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,7 @@
 }
 
 var _ = Describe("DrawPlan", func() {
-	o := Options{Length: 30 * time.Second, Rate: DefaultRate, Daemons: 4, PlainReplicas: 4, Callers: 8, EnginesPerDataCentre: 2}
+	o := Options{Length: 30 * time.Second, Rate: DefaultRate, PlannedRate: DefaultPlannedRate, Daemons: 4, PlainReplicas: 4, Callers: 8, EnginesPerDataCentre: 2}
 
 	// Guards against a seed whose faults cannot be reproduced.
 	It("returns the same plan for the same seed, ordered by time", func() {
@@ -61,19 +61,38 @@
 				}
 			}
 		}
-		for _, c := range slices.Concat(faultTypes...) {
+		for _, c := range append(slices.Concat(faultTypes...), plannedWork...) {
 			Expect(kinds[componentID{c.component, 0}]).To(HaveKey(c.kind))
 		}
 		Expect(overlaps).To(BeNumerically(">", 500))
 		Expect(repeats).To(BeNumerically(">", 100))
 	})
 
+	// Guards against kept seeds whose faults change with the planned work.
+	It("draws the same faults with and without planned work", func() {
+		without := o
+		without.PlannedRate = 0
+		isPlanned := func(f Fault) bool { return slices.Contains(plannedWork, faultType{f.Component, f.Kind}) }
+		for seed := range uint64(10) {
+			expected := slices.DeleteFunc(DrawPlan(seed, without), isPlanned)
+			Expect(slices.DeleteFunc(DrawPlan(seed, o), isPlanned)).To(Equal(expected))
+		}
+	})
+
+	It("draws gaps of rolling stops and bursts of signals over their whole range", func() {
+		Expect(scale(minFault, 0.2, 1.5)).To(BeNumerically("~", 0.2))
+		Expect(scale(maxFault, 0.2, 1.5)).To(BeNumerically("~", 1.5))
+	})
+
 	It("reports options that cannot work", func() {
 		Expect(o.Check()).To(Succeed())
 		bad := o
 		bad.Daemons = 0
 		Expect(bad.Check()).NotTo(Succeed())
 		bad = o
+		bad.PlannedRate = -1
+		Expect(bad.Check()).NotTo(Succeed())
+		bad = o
 		bad.Length = time.Second
 		Expect(bad.Check()).NotTo(Succeed())
 	})
