soak: the stop of a daemon that answers many requests begins with SIGTERM

Cause: its interval began 0.4 s before SIGTERM, when its clients began to send, so the excuse for the last sixth of the grace also began 0.4 s early for all requests of the daemon. The clients now begin before the stop is recorded.

--- a/soak/act.go
+++ b/soak/act.go
@@ -56,6 +56,10 @@
 			s.sendBurst(ctx, f.Target)
 			return
 		}
+		if f.Kind == StopAnswering {
+			defer s.keepAnswering(ctx, f.Target)()
+			pause.For(ctx, busyTime)
+		}
 		s.injectDaemonFaults(ctx, f, f.Target)
 	case StoreServer:
 		if f.Kind == ExpireRegistrations {
--- a/soak/rolling.go
+++ b/soak/rolling.go
@@ -72,9 +72,6 @@
 	switch f.Kind {
 	case HangUpAndStop:
 		d.hangUp(int(scale(f.Length, minHangUps, maxHangUps)))
-	case StopAnswering:
-		defer s.keepAnswering(ctx, d)()
-		pause.For(ctx, busyTime)
 	case SignalStopping:
 		var signals sync.WaitGroup
 		defer signals.Wait()
@@ -90,23 +87,16 @@
 
 // keepAnswering lets busyCallers clients send requests to a daemon until it closes their
 // connections. The returned function waits for their end.
-func (s *Soak) keepAnswering(ctx context.Context, d *daemon) (wait func()) {
+func (s *Soak) keepAnswering(ctx context.Context, daemon int) (wait func()) {
 	ctx, stop := context.WithCancel(ctx)
-	done := make(chan struct{}, busyCallers)
-	for i := range s.daemons {
-		if s.daemons[i] != d {
-			continue
-		}
-		for range busyCallers {
-			c := newDirectClient(s, firstBusyClient+int(s.busyClients.Add(1)), answeringStyle)
-			go func() { c.useConnection(ctx, i); done <- struct{}{} }()
-		}
+	var clients sync.WaitGroup
+	for range busyCallers {
+		c := newDirectClient(s, firstBusyClient+int(s.busyClients.Add(1)), answeringStyle)
+		clients.Go(func() { c.useConnection(ctx, daemon) })
 	}
 	return func() {
 		stop()
-		for range busyCallers {
-			<-done
-		}
+		clients.Wait()
 	}
 }
 
