--- a/soak/soak.go
+++ b/soak/soak.go
@@ -140,7 +140,8 @@
 	storeLinks, clientLinks, peerLinks []*link
 	upstreams                          []*upstream
 	// moveTargets are the upstreams of the version to which plain requests are moved.
-	// No other fault acts on them. laterTargets are those of a version to which the
+	// No other fault acts on them, and direct clients' requests take no longer than others
+	// there: a version that is slow is reverted. laterTargets are those of a version to which the
 	// requests are moved while the version of moveTargets is still registered.
 	moveTargets, laterTargets []*upstream
 	daemons                   []*daemon
@@ -202,6 +203,7 @@
 		if err != nil {
 			return err
 		}
+		u.Set(func(b *platformtest.Behaviour) { b.Work = directWork })
 		s.upstreams = append(s.upstreams, u)
 		s.register(u, "ready")
 	}
@@ -278,7 +280,6 @@
 	u.Replica = r
 	r.Set(func(b *platformtest.Behaviour) {
 		b.Events, b.Pause, b.EventText, b.Model, b.Slots = streamEvents, eventInterval, eventText, "m", engineSlots
-		b.Work = directWork
 		if service == "tags" {
 			b.Slots, b.ProcessingTime = plainSlots, plainProcessingTime
 		}
