soak: SIGTERM directly follows a burst of SIGHUPs

Cause: between the burst and SIGTERM the soak read the size of the process, in which time it had often handled the SIGHUPs.

Change: the size is read before the burst.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -101,10 +101,10 @@
 	close(exited)
 }
 
-// signal sends a signal to the running process; terminates is set for signals that
-// end it. It returns the channel that is closed when the process ends, or nil when no
+// signal sends a signal to the running process, directly after the signals in before;
+// terminates is set for signals that end it. It returns the channel that is closed when the process ends, or nil when no
 // process runs.
-func (d *daemon) signal(s syscall.Signal, terminates bool) <-chan struct{} {
+func (d *daemon) signal(s syscall.Signal, terminates bool, before ...syscall.Signal) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cmd == nil {
@@ -112,8 +112,10 @@
 	}
 	d.peakMB = max(d.peakMB, residentMB(d.cmd.Process.Pid))
 	d.stopRequested = d.stopRequested || terminates
-	// The error is ignored: the process may have ended, and wait records how.
-	_ = d.cmd.Process.Signal(s)
+	for _, s := range append(before, s) {
+		// The error is ignored: the process may have ended, and wait records how.
+		_ = d.cmd.Process.Signal(s)
+	}
 	return d.exited
 }
 
@@ -133,10 +135,10 @@
 	}
 }
 
-// terminate sends SIGTERM and waits for the end of the process. A process that
-// runs longer than its grace and exitSlack is killed.
-func (d *daemon) terminate() {
-	exited := d.signal(syscall.SIGTERM, true)
+// terminate sends SIGTERM, directly after the signals in before, and waits for the end
+// of the process. A process that runs longer than its grace and exitSlack is killed.
+func (d *daemon) terminate(before ...syscall.Signal) {
+	exited := d.signal(syscall.SIGTERM, true, before...)
 	if exited == nil {
 		return
 	}
--- a/soak/rolling.go
+++ b/soak/rolling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -71,7 +72,8 @@
 func (s *Soak) stopDaemon(ctx context.Context, f Fault, d *daemon) {
 	switch f.Kind {
 	case HangUpAndStop:
-		d.hangUp(int(scale(f.Length, minHangUps, maxHangUps)))
+		d.terminate(slices.Repeat([]syscall.Signal{syscall.SIGHUP}, int(scale(f.Length, minHangUps, maxHangUps)))...)
+		return
 	case SignalStopping:
 		var signals sync.WaitGroup
 		defer signals.Wait()
@@ -100,17 +102,6 @@
 	}
 }
 
-// hangUp sends SIGHUPs as fast as possible.
-func (d *daemon) hangUp(count int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for range count {
-		if d.cmd != nil {
-			_ = d.cmd.Process.Signal(syscall.SIGHUP) // wait records how a process ended
-		}
-	}
-}
-
 // signalStopping sends a signal to the process if it has been asked to stop.
 func (d *daemon) signalStopping(sig syscall.Signal) {
 	d.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -367,7 +367,7 @@
 	callersDone.Wait()
 	var stopping sync.WaitGroup
 	for _, d := range s.daemons {
-		stopping.Go(d.terminate)
+		stopping.Go(func() { d.terminate() })
 	}
 	stopping.Wait()
 	stopWatching()
