soak: plain requests of direct clients take no slots

Cause: requests of up to 0.4 s took about five of the 24 slots of the plain upstreams, beside callers that use most of them, so that fewer refusals of other callers could be judged.

Change: upstreams run plain requests of direct clients beyond their slots and leave them out of the load that they report. Streams still take slots of the engines, and count in the check of free slots.

--- a/soak/direct.go
+++ b/soak/direct.go
@@ -65,11 +65,21 @@
 // directWork returns the time of work that a body asks for; 0 if it is not that of a
 // direct client.
 func directWork(body string) time.Duration {
+	work, _ := parseDirect(body)
+	return work
+}
+
+// isDirect reports whether a body is that of a direct client. Plain requests of these
+// clients take no slots, so that other callers find the slots that they had without them.
+func isDirect(body string) bool {
+	_, direct := parseDirect(body)
+	return direct
+}
+
+func parseDirect(body string) (work time.Duration, direct bool) {
 	ms := 0
-	if _, err := fmt.Sscanf(body, directWorkFormat, &ms); err != nil {
-		return 0
-	}
-	return time.Duration(ms) * time.Millisecond
+	_, err := fmt.Sscanf(body, directWorkFormat, &ms)
+	return time.Duration(ms) * time.Millisecond, err == nil
 }
 
 // directClient sends requests to the daemons' own addresses over TCP connections that it
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -275,12 +275,15 @@
 	return obs.faults.unaffected(Daemons, a.daemon, a.sent, to) && obs.faults.unaffected(ClientLinks, a.daemon, a.sent, to)
 }
 
-// countConcurrent sets concurrent for each attempt, with the requests of direct clients.
-// Upstreams may refuse requests when all their slots are used.
+// countConcurrent sets concurrent for each attempt, with the streams of direct clients;
+// their plain requests take no slots. Upstreams may refuse requests when all their slots
+// are used.
 func (obs *observations) countConcurrent() {
 	all := slices.Clone(obs.attempts)
 	for _, d := range obs.direct {
-		all = append(all, d.attempt)
+		if d.Kind == platformtest.Stream {
+			all = append(all, d.attempt)
+		}
 	}
 	for i := range obs.attempts {
 		a := &obs.attempts[i]
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -281,7 +281,7 @@
 	r.Set(func(b *platformtest.Behaviour) {
 		b.Events, b.Pause, b.EventText, b.Model, b.Slots = streamEvents, eventInterval, eventText, "m", engineSlots
 		if service == "tags" {
-			b.Slots, b.ProcessingTime = plainSlots, plainProcessingTime
+			b.Slots, b.ProcessingTime, b.WithoutSlot = plainSlots, plainProcessingTime, isDirect
 		}
 	})
 	u.link, err = newLink(r.Address)
