--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -19,11 +19,11 @@
 
 const (
 	// firstPort and lastPort lie below the ports that the kernel assigns to outgoing
-	// connections, so that a daemon's port is still free when it starts again.
+	// connections, so that a port is still free when its process starts again.
 	firstPort = 20000
 	lastPort  = 32000
-	// blockSize is the number of ports of one soak. The daemons of all seeds that run at
-	// the same time need fewer.
+	// blockSize is the number of ports of one soak. The daemons and upstreams of all seeds that
+	// run at the same time need fewer.
 	blockSize = 2000
 	// exitSlack is how long a process that was asked to stop may run beyond its
 	// grace before it is killed.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -171,7 +171,7 @@
 	configVersion  int
 }
 
-// Run runs the soak of a seed. The daemons listen on ports from p. The error is for a
+// Run runs the soak of a seed. The daemons and upstreams listen on ports from p. The error is for a
 // run that could not be completed; broken promises are in the Outcome.
 func Run(ctx context.Context, seed uint64, o Options, p *Ports) (Outcome, error) {
 	dir, err := os.MkdirTemp("", "soak")
@@ -199,7 +199,7 @@
 		if i >= s.options.engines() {
 			service = "tags"
 		}
-		u, err := newUpstream(i, service)
+		u, err := newUpstream(p, i, service)
 		if err != nil {
 			return err
 		}
@@ -209,7 +209,7 @@
 	}
 	for _, targets := range []*[]*upstream{&s.moveTargets, &s.laterTargets} {
 		for range s.options.PlainReplicas {
-			u, err := newUpstream(len(s.upstreams)+len(s.moveTargets)+len(s.laterTargets), "tags")
+			u, err := newUpstream(p, len(s.upstreams)+len(s.moveTargets)+len(s.laterTargets), "tags")
 			if err != nil {
 				return err
 			}
@@ -271,9 +271,15 @@
 	return value
 }
 
-func newUpstream(number int, service string) (*upstream, error) {
+// newUpstream starts an upstream on a port of its own, which is still free when it starts
+// again after a crash.
+func newUpstream(p *Ports, number int, service string) (*upstream, error) {
 	u := &upstream{number: number, zone: dataCentres[number%len(dataCentres)], service: service}
-	r, err := platformtest.NewReplica(u.id())
+	address, err := p.address()
+	if err != nil {
+		return nil, err
+	}
+	r, err := platformtest.NewReplicaAt(u.id(), address)
 	if err != nil {
 		return nil, err
 	}
