--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,11 +53,13 @@
 	Binary string
 	// Length is the time in which faults begin.
 	Length time.Duration
-	// Rate is the number of faults per second.
-	Rate float64
+	// Rate is the number of faults per second, PlannedRate that of planned work.
+	Rate, PlannedRate float64
 	// Daemons, PlainReplicas and Callers are the numbers of these components; each of
 	// the three data centres has EnginesPerDataCentre engines.
 	Daemons, PlainReplicas, Callers, EnginesPerDataCentre int
+	// Direct is the number of clients that reach the daemons without a proxy.
+	Direct int
 }
 
 func (o Options) engines() int { return o.EnginesPerDataCentre * len(dataCentres) }
@@ -67,6 +69,9 @@
 	if o.Length <= warmUp || o.Rate <= 0 || o.Daemons < 1 || o.PlainReplicas < 1 || o.Callers < 1 || o.EnginesPerDataCentre < 1 {
 		return eris.Errorf("soak: every number of components must be at least 1, the rate above 0 and the length above %s", warmUp)
 	}
+	if o.PlannedRate < 0 || o.Direct < 0 {
+		return eris.New("soak: the rate of planned work and the number of direct clients must be at least 0")
+	}
 	return nil
 }
 
@@ -81,6 +86,11 @@
 	// attempts were sent to a daemon that no fault affected, so that all rules apply to
 	// them.
 	Faults, Requests, Unaffected, Complete, Refused, Incomplete int
+	// Direct is the number of requests of direct clients that were sent whole and not
+	// given up, and DirectJudged the number of those at daemons on which only planned work
+	// acted. Of the latter, Crossed got no answer because the daemon closed the connection
+	// within lossSlack.
+	Direct, DirectJudged, Crossed int
 	// Moves is the number of moves between versions that were ordered.
 	Moves int
 	// PeakMB is the largest resident memory of any daemon in MiB, sampled at each
@@ -96,8 +106,9 @@
 }
 
 func (r Outcome) String() string {
-	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d MB, %d stalls (%.1f s), %d broken",
-		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
+	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d direct (%d judged, %d crossed), %d MB, %d stalls (%.1f s), %d broken",
+		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete,
+		r.Direct, r.DirectJudged, r.Crossed, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
 	for _, v := range r.Violations {
 		s += "\n  " + v
 	}
@@ -129,7 +140,8 @@
 	storeLinks, clientLinks, peerLinks []*link
 	upstreams                          []*upstream
 	// moveTargets are the upstreams of the version to which plain requests are moved.
-	// No other fault acts on them. laterTargets are those of a version to which the
+	// No other fault acts on them, and direct clients' requests take no longer than others
+	// there: a version that is slow is reverted. laterTargets are those of a version to which the
 	// requests are moved while the version of moveTargets is still registered.
 	moveTargets, laterTargets []*upstream
 	daemons                   []*daemon
@@ -141,6 +153,10 @@
 	// moveMu is held while the operator moves a service; moves counts the moves.
 	moveMu sync.Mutex
 	moves  int
+	// rotation follows the readiness of the daemons; busyClients counts the clients of
+	// stops during answers.
+	rotation    *rotation
+	busyClients atomic.Int64
 	// poisonMu is held while a poison request is sent; poisonRequests counts them.
 	poisonMu       sync.Mutex
 	poisonRequests int
@@ -155,7 +171,7 @@
 	configVersion  int
 }
 
-// Run runs the soak of a seed. The daemons listen on ports from p. The error is for a
+// Run runs the soak of a seed. The daemons and upstreams listen on ports from p. The error is for a
 // run that could not be completed; broken promises are in the Outcome.
 func Run(ctx context.Context, seed uint64, o Options, p *Ports) (Outcome, error) {
 	dir, err := os.MkdirTemp("", "soak")
@@ -183,16 +199,17 @@
 		if i >= s.options.engines() {
 			service = "tags"
 		}
-		u, err := newUpstream(i, service)
+		u, err := newUpstream(p, i, service)
 		if err != nil {
 			return err
 		}
+		u.Set(func(b *platformtest.Behaviour) { b.Work = directWork })
 		s.upstreams = append(s.upstreams, u)
 		s.register(u, "ready")
 	}
 	for _, targets := range []*[]*upstream{&s.moveTargets, &s.laterTargets} {
 		for range s.options.PlainReplicas {
-			u, err := newUpstream(len(s.upstreams)+len(s.moveTargets)+len(s.laterTargets), "tags")
+			u, err := newUpstream(p, len(s.upstreams)+len(s.moveTargets)+len(s.laterTargets), "tags")
 			if err != nil {
 				return err
 			}
@@ -254,9 +271,15 @@
 	return value
 }
 
-func newUpstream(number int, service string) (*upstream, error) {
+// newUpstream starts an upstream on a port of its own, which is still free when it starts
+// again after a crash.
+func newUpstream(p *Ports, number int, service string) (*upstream, error) {
 	u := &upstream{number: number, zone: dataCentres[number%len(dataCentres)], service: service}
-	r, err := platformtest.NewReplica(u.id())
+	address, err := p.address()
+	if err != nil {
+		return nil, err
+	}
+	r, err := platformtest.NewReplicaAt(u.id(), address)
 	if err != nil {
 		return nil, err
 	}
@@ -264,7 +287,7 @@
 	r.Set(func(b *platformtest.Behaviour) {
 		b.Events, b.Pause, b.EventText, b.Model, b.Slots = streamEvents, eventInterval, eventText, "m", engineSlots
 		if service == "tags" {
-			b.Slots, b.ProcessingTime = plainSlots, plainProcessingTime
+			b.Slots, b.ProcessingTime, b.WithoutSlot = plainSlots, plainProcessingTime, isDirect
 		}
 	})
 	u.link, err = newLink(r.Address)
@@ -330,6 +353,11 @@
 		callers[i] = newCaller(s, i)
 		callersDone.Go(func() { callers[i].sendRequests(sending) })
 	}
+	s.rotation = watchRotation(watching, s.daemons)
+	for i := range s.options.Direct {
+		c := newDirectClient(s, i, directStyles[i%len(directStyles)])
+		callersDone.Go(func() { c.sendRequests(sending) })
+	}
 	began := time.Now()
 	for _, f := range DrawPlan(s.seed, s.options) {
 		if !pause.For(ctx, time.Until(began.Add(f.At))) {
@@ -345,7 +373,7 @@
 	callersDone.Wait()
 	var stopping sync.WaitGroup
 	for _, d := range s.daemons {
-		stopping.Go(d.terminate)
+		stopping.Go(func() { d.terminate() })
 	}
 	stopping.Wait()
 	stopWatching()
@@ -367,8 +395,12 @@
 	}
 	for i, u := range s.allUpstreams() {
 		for _, received := range u.ReceivedRequests() {
-			if id := received.ID(); id[0] == 'c' { // skips the requests of the recovery check and the poison requests
-				s.observed.runs = append(s.observed.runs, run{id: id, upstream: i, at: received.At})
+			// The other IDs are those of the recovery check and of poison requests.
+			switch ran := (run{id: received.ID(), upstream: i, at: received.At, ended: received.Ended}); ran.id[0] {
+			case 'c':
+				s.observed.runs = append(s.observed.runs, ran)
+			case directPrefix:
+				s.observed.directRuns = append(s.observed.directRuns, ran)
 			}
 		}
 	}
@@ -384,6 +416,9 @@
 		r.StallTime += iv.to.Sub(iv.from)
 	}
 	r.Violations = append(r.Violations, s.observed.check()...)
+	direct := s.observed.checkDirect()
+	r.Violations = append(r.Violations, direct.violations...)
+	r.Direct, r.DirectJudged, r.Crossed = direct.sent, direct.judged, direct.crossed
 	for i, d := range s.daemons {
 		r.Violations = append(r.Violations, d.violations...)
 		for _, stop := range d.lateStops {
@@ -422,12 +457,8 @@
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
 	for end := time.Now().Add(2 * maxRecoveryTime); time.Now().Before(end); {
-		res, err := client.Get(d.ReadyURL())
-		if err == nil {
-			_ = res.Body.Close()
-			if res.StatusCode == http.StatusOK {
-				return true
-			}
+		if isReady(client, d.ReadyURL()) {
+			return true
 		}
 		if !pause.For(ctx, pollInterval) {
 			return false
