--- a/internal/clientconn/framing.go
+++ b/internal/clientconn/framing.go
@@ -29,8 +29,10 @@
 	// begun is the number of requests of which at least one byte arrived.
 	begun int
 	part  framePart
-	// line holds the beginning of a line that has not ended.
-	line []byte
+	// line holds the beginning of a line that has not ended, field the last field of a head,
+	// which the next line may continue.
+	line  []byte
+	field string
 	// left is the number of bytes of the body, or of the chunk, that have not arrived.
 	left             int64
 	chunked, trailer bool
@@ -81,11 +83,15 @@
 	case partRequestLine:
 		r.part = partField
 	case partField:
-		if line == "" {
-			r.headEnded()
+		if r.field != "" && (strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t")) {
+			r.field += line[:min(len(line), max(maxFieldBytes-len(r.field), 0))]
 			return
 		}
-		r.addField(line)
+		r.addField(r.field)
+		r.field = line
+		if line == "" && r.part == partField {
+			r.headEnded()
+		}
 	case partChunkEnd:
 		r.part = partChunkSize
 	case partChunkSize:
@@ -102,11 +108,11 @@
 	}
 }
 
-func (r *requestCounter) addField(line string) {
-	name, value, _ := strings.Cut(line, ":")
+func (r *requestCounter) addField(field string) {
+	name, value, _ := strings.Cut(field, ":")
 	value = strings.TrimSpace(value)
 	switch {
-	case r.trailer:
+	case r.trailer, field == "":
 	case strings.EqualFold(name, "Content-Length"):
 		n, err := strconv.ParseInt(value, 10, 64)
 		if err != nil || n < 0 {
--- a/internal/clientconn/framing_test.go
+++ b/internal/clientconn/framing_test.go
@@ -17,6 +17,8 @@
 	"POST /once/x HTTP/1.1\r\nHost: a\r\ncontent-length: 5\r\n\r\norder",
 	"POST /once/x HTTP/1.1\nHost: a\nContent-Length: 0\n\n",
 	"POST /once/x HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", 3000) + "\r\nContent-Length: 12\r\n\r\nPOST / HTTP/1",
+	"POST /once/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n chunked\r\nX-Last: 1\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	"POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n\t5\r\n\r\norder",
 	"POST /once/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\norder\r\n1a;x=y\r\nabcdefghijklmnopqrstuvwxyz\r\n0\r\nX-T: Content-Length: 3\r\n\r\n",
 }
 
