daemon: a stop ends although a client goes on sending

A caller that always has its next request in kept its connection, and the daemon did not end its stop; an 'OPTIONS *', which net/http answers without the handler, had the same effect with any further requests, because it was never counted as taken.

Change: 'OPTIONS *' goes to the handler. After a further drain deadline the daemon closes connections on which no request is being answered, and each refusal closes its connection.

Evidence: the new test of fleet does not end within 20 s on the code before; it takes about a second now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,8 +65,9 @@
 	accepted     chan struct{}
 	cancel       context.CancelFunc
 	endRequested atomic.Bool
-	// refusing is set once a stopping daemon refuses new requests.
-	refusing atomic.Bool
+	// refusing is set once a stopping daemon refuses new requests, closing when it no longer
+	// waits for those that have arrived on open connections.
+	refusing, closing atomic.Bool
 	// done is closed when the control loop has ended.
 	done chan struct{}
 }
@@ -308,10 +309,11 @@
 }
 
 // closeAfterRefusal returns a handler that tells callers, once the daemon refuses new
-// requests, to open another connection, unless their next request has arrived on this one.
+// requests, to open another connection. While it waits for requests that have arrived, it
+// does not do so if one has on this connection.
 func (d *Daemon) closeAfterRefusal(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.refusing.Load() && !clientconn.FromContext(r.Context()).NextRequestArrived() {
+		if d.closing.Load() || d.refusing.Load() && !clientconn.FromContext(r.Context()).NextRequestArrived() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -364,7 +366,13 @@
 	// The server reports the error of a listener that is closed to serve.
 	_ = d.listeners.callers.Close()
 	<-d.accepted
-	if open := d.connections.CloseAll(ctx, func(c drain.Connection) bool { return c.Unused(time.Now()) }); open > 0 {
+	last := time.Now().Add(d.settings.Drain.Deadline)
+	closes := func(c drain.Connection) bool {
+		now := time.Now()
+		return c.Unused(now) || !c.Answering && now.After(last)
+	}
+	defer time.AfterFunc(d.settings.Drain.Deadline, func() { d.closing.Store(true) }).Stop()
+	if open := d.connections.CloseAll(ctx, closes); open > 0 {
 		d.log.Warn("drain cancelled; running plain calls were cut off", "connections", open, "cause", ctx.Err())
 	}
 	if err := d.plain.Drain(ctx); err != nil {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -75,7 +75,8 @@
 // Connection is what is known of a client's connection.
 type Connection struct {
 	// Unanswered says that a request has arrived, at least in part, and is not answered.
-	Unanswered bool
+	// Answering says that one was taken and is being answered.
+	Unanswered, Answering bool
 	// UnusedSince is when the connection was opened or last carried a byte.
 	UnusedSince time.Time
 }
--- a/fleet/stop_test.go
+++ b/fleet/stop_test.go
@@ -62,4 +62,35 @@
 		}
 		Eventually(stopped, "10s").Should(Receive(BeNil()))
 	})
+
+	// Guards against a daemon that never ends its stop, because a client goes on sending on a
+	// connection that is not closed.
+	It("ends although a client sends one request after the other", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		f, err := Start(ctx, Options{Daemons: 1, PlainReplicas: 1, DrainNotice: time.Millisecond, DrainDeadline: time.Second, Logger: slog.New(slog.DiscardHandler)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		d := f.LiveDaemons()[0]
+		c, err := net.Dial("tcp", d.CallerAddress())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		// It always has one request more in than answers.
+		_, err = io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n"+request)
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			answers := bufio.NewReader(c)
+			for {
+				res, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				_, _ = io.WriteString(c, request)
+			}
+		}()
+		stopped := make(chan error, 1)
+		go func() { stopped <- d.Stop(ctx) }()
+		Eventually(stopped, "20s").Should(Receive(BeNil()))
+	})
 })
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -45,6 +45,8 @@
 // serve, report its connections. The server must serve only listeners that Listener returned.
 func (t *Tracker) Attach(s *http.Server) {
 	s.ConnState = t.connStateChanged
+	// net/http would answer "OPTIONS *" without the handler, which counts requests.
+	s.DisableGeneralOptionsHandler = true
 	s.Handler = countTaken(s.Handler)
 	next := s.ConnContext
 	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
@@ -161,6 +163,7 @@
 	defer c.mu.Unlock()
 	state := drain.Connection{
 		Unanswered:  c.active || c.requests.begun > c.taken || hasUnreadBytes(c.Conn),
+		Answering:   c.active,
 		UnusedSince: c.unusedSince,
 	}
 	if closes(state) {
