--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -22,6 +22,9 @@
 // longer waits for it.
 const stopMargin = time.Second
 
+// lastReloadTimeout bounds how long a stop waits for settings that are being read.
+const lastReloadTimeout = 200 * time.Millisecond
+
 // logFlushTimeout bounds the writing of the last lines of the log. It is shorter than what a
 // stop leaves of its grace.
 const logFlushTimeout = 250 * time.Millisecond
@@ -87,11 +90,15 @@
 	watching, stopWatching := context.WithCancel(e.ctx)
 	defer stopWatching()
 	go telemetry.WatchStalls(watching, telemetry.RecordStalls(telemetry.WithPart(logger, "edge")))
-	w := settingsWatcher{daemon: d, log: telemetry.WithPart(logger, "edge"), path: config, modTime: knownModTime}
-	go w.run(watching, reload)
+	w := settingsWatcher{
+		daemon: d, log: telemetry.WithPart(logger, "edge"), path: config, modTime: knownModTime,
+		reloadSignal: reload, finished: make(chan struct{}),
+	}
+	go w.run(watching)
 	select {
 	case sig := <-stop:
 		logSignal(w.log, sig)
+		w.finish()
 	case <-e.ctx.Done():
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), d.StopGrace()+stopMargin)
@@ -109,16 +116,40 @@
 	path   string
 	// modTime is the modification time of the file before it was read last.
 	modTime time.Time
+	// reloadSignal receives the signals to read the file again; finished receives a value
+	// when those that came before a call of finish are done.
+	reloadSignal <-chan os.Signal
+	finished     chan struct{}
+}
+
+// finish waits until the settings of a signal that came before are in force, at most for
+// lastReloadTimeout: the grace of a stop may be among them.
+func (w *settingsWatcher) finish() {
+	timer := time.NewTimer(lastReloadTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.finished:
+	case <-timer.C:
+	}
 }
 
 // run reads the file again on each signal, and when its modification time changes, until
 // the context ends.
-func (w *settingsWatcher) run(ctx context.Context, reload <-chan os.Signal) {
+func (w *settingsWatcher) run(ctx context.Context) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	for {
+		// A signal that waits goes before everything else.
+		select {
+		case sig := <-w.reloadSignal:
+			logSignal(w.log, sig)
+			w.reload()
+			continue
+		default:
+		}
 		select {
-		case sig := <-reload:
+		case w.finished <- struct{}{}:
+		case sig := <-w.reloadSignal:
 			logSignal(w.log, sig)
 			w.reload()
 		case <-poll.C:
