clientconn: a connection that a stop ends serves what was read, and what it drops is counted

Bytes that a read had got, but not yet counted, were discarded when a stop closed the connection in that moment: the request got no answer and was not counted. Requests on connections that the deadline closed were not counted either, since the error of the daemon's own close was taken for the client's; and the log could come after the end of the process. The metric did not show what its page says.

Change: a stop ends an unused connection by an expired read deadline, after which net/http closes it, so that what was read before is served. What the deadline drops is counted before connections are closed.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -74,16 +74,17 @@
 type Conn struct {
 	net.Conn
 	mu sync.Mutex
-	// active says that net/http reported last that a request is being answered.
-	active, closed bool
+	// active is the state that net/http reported last: a request is being answered.
+	active bool
 	// unusedSince is when the connection was opened, last received a byte or became idle.
 	unusedSince time.Time
 	// requests counts the requests that begin in the bytes that arrive; taken is the number
 	// of those that were passed to the handler.
 	requests requestCounter
 	taken    int
-	// lost says that the client, or the network, ended the connection.
-	lost bool
+	// lost says that the client, or the network, ended the connection; recorded that its
+	// dropped requests are counted.
+	lost, recorded bool
 }
 
 type trackedListener struct {
@@ -104,20 +105,16 @@
 	return out, nil
 }
 
-// Read implements net.Conn. It discards bytes that arrive after the connection
-// was closed by the tracker.
+// Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
 	if n > 0 {
 		c.requests.add(b[:n])
 		c.unusedSince = time.Now()
 	}
-	c.lost = c.lost || n == 0 && err != nil && !isTimeout(err)
+	c.lost = c.lost || n == 0 && err != nil && !isTimeout(err) && !errors.Is(err, net.ErrClosed)
 	return n, err
 }
 
@@ -157,29 +154,24 @@
 	c.taken++
 }
 
-// closeIfUnused closes the connection if closes reports so.
+// closeIfUnused ends the connection if closes reports so. Its next Read fails, and net/http
+// closes it; what a Read that is about to return has got is still served.
 func (c *Conn) closeIfUnused(closes func(drain.Connection) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state := drain.Connection{
-		Unanswered:  c.active || c.requests.begun > c.taken || hasUnreadBytes(c.Conn),
+		Unanswered:  c.active || c.requests.begun > c.taken,
 		Answering:   c.active,
 		UnusedSince: c.unusedSince,
 	}
-	if closes(state) {
-		c.close()
-	}
-}
-
-// close closes the connection. The caller holds c.mu.
-func (c *Conn) close() {
-	if c.closed {
+	if !closes(state) {
 		return
 	}
-	c.closed = true
-	// The error is ignored: the client has no request in flight that could miss its
-	// response.
-	_ = c.Close()
+	state.Unanswered = state.Unanswered || hasUnreadBytes(c.Conn)
+	if closes(state) {
+		// The error is ignored: the connection is closed already.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // hasUnreadBytes reports whether bytes have arrived that nobody has read yet, for example
@@ -231,8 +223,8 @@
 func (t *Tracker) CloseUnused(closes func(drain.Connection) bool) int {
 	t.mu.Lock()
 	t.stopping = true
-	open := slices.Collect(maps.Keys(t.open))
 	t.mu.Unlock()
+	open := t.connections()
 	for _, c := range open {
 		c.closeIfUnused(closes)
 	}
@@ -240,23 +232,34 @@
 }
 
 // CloseAll calls CloseUnused until no connection is open, and returns the number of those
-// that are still open when ctx ends.
+// that are still open when ctx ends. The server closes these next: the requests that are
+// dropped with them are counted.
 func (t *Tracker) CloseAll(ctx context.Context, closes func(drain.Connection) bool) int {
 	open := t.CloseUnused(closes)
 	for open > 0 && pause.For(ctx, pollInterval) {
 		open = t.CloseUnused(closes)
 	}
+	for _, c := range t.connections() {
+		t.recordDropped(c)
+	}
 	return open
 }
 
-// recordDropped counts and logs the requests that had arrived on a connection when a stop
-// closed it, and that were not passed to the handler.
+func (t *Tracker) connections() []*Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.open))
+}
+
+// recordDropped counts and logs the requests that have arrived on a connection that a stop
+// closes, and that were not passed to the handler.
 func (t *Tracker) recordDropped(c *Conn) {
 	c.mu.Lock()
 	dropped := c.requests.begun - c.taken
-	if c.lost {
+	if c.lost || c.recorded {
 		dropped = 0
 	}
+	c.recorded = true
 	c.mu.Unlock()
 	if dropped <= 0 {
 		return
