gateway: a request whose body has not arrived by the end of a stop is refused

Found by the review. A client that still sent the body of its request at the end of a stop was cut, and could not know that the request did not run; the 400 for the body was written after the close.

Change: the read of a body ends when the other requests have to be answered, and the request is refused with 503, not run. The rest of a refused body is read no longer than that.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -223,6 +223,9 @@
 	// The error is ignored: only the connections of tests lack deadlines, and the
 	// deadline only bounds slow senders.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	// At the end of a stop a client that still sends gets an answer, like the others.
+	stopWaiting := context.AfterFunc(g.stopEnds, func() { _ = rc.SetReadDeadline(time.Now()) })
+	defer stopWaiting()
 	body, reserved, err := g.heldBodies.readRequest(http.MaxBytesReader(w, hr.Body, limit), hr.ContentLength, limit)
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -231,6 +234,8 @@
 		return 0, &refusal{status: http.StatusServiceUnavailable, code: "memory", retryAfter: time.Second}
 	case errors.As(err, &tooLarge), errors.Is(err, errTooLong):
 		return 0, &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
+	case err != nil && g.stopEnds.Err() != nil:
+		return 0, &refusal{status: http.StatusServiceUnavailable, code: codeStopping, retryAfter: stopRetryAfter, cause: err}
 	case err != nil:
 		return 0, &refusal{status: http.StatusBadRequest, code: "body_not_read", cause: err}
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -65,10 +65,15 @@
 		return
 	}
 	rc := http.NewResponseController(w)
+	deadline := time.Now().Add(discardTimeout)
+	plan := g.drainPlan.Load()
+	if plan != nil && plan.AnswerBy().Before(deadline) {
+		deadline = plan.AnswerBy()
+	}
 	// The error is ignored: only the connections of tests lack deadlines.
-	_ = rc.SetReadDeadline(time.Now().Add(discardTimeout))
+	_ = rc.SetReadDeadline(deadline)
 	waitsForContinue := hr.Header.Get("Expect") != ""
-	if g.drainPlan.Load() != nil && !waitsForContinue {
+	if plan != nil && !waitsForContinue {
 		g.discardBody(hr, call)
 		g.refuse(w, call, r)
 		return
