gateway: log the limits that upstreams name

An upstream in need names in its answers how many requests a second it takes from all daemons together. Nothing showed that: no log line, no metric.

Change: the limit is decoded, and a daemon logs when an upstream names one, changes it (at most once a second) or names none any more, and an unreadable one once. gooseberryroad_gateway_limited_upstreams counts the upstreams with a limit. A limit ends only with a proven answer to a request that was sent after it was heard. No request is placed differently.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -128,7 +128,7 @@
 	if err == nil {
 		resp.Body.Close()
 		if g.answeredBy(in, resp.Header) {
-			g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), r.ID)
+			g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), r.ID, time.Time{})
 		}
 		return false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,6 +131,7 @@
 	defer g.mu.Unlock()
 	g.tracker.SetRegistered(v.All)
 	g.tracker.DropNotices(v.All, time.Now())
+	limitedUpstreams.Set(float64(g.tracker.LimitedUpstreams()))
 	g.updateCutovers(v, time.Now())
 	g.forgetRemovedRoutes(v)
 	g.adopted.DropUnregistered(v.All)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,7 +23,9 @@
 var (
 	answerSeconds  = histograms("gooseberryroad_gateway_answer_seconds")
 	firstEventTime = metrics.NewHistogram("gooseberryroad_gateway_first_event_seconds")
-	streamGapTime  = metrics.NewHistogram("gooseberryroad_gateway_stream_max_gap_seconds")
+	// limitedUpstreams is the number of upstreams that name a limit.
+	limitedUpstreams = metrics.NewGauge("gooseberryroad_gateway_limited_upstreams", nil)
+	streamGapTime    = metrics.NewHistogram("gooseberryroad_gateway_stream_max_gap_seconds")
 )
 
 func histograms(name string) map[routes.Kind]*metrics.Histogram {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -20,11 +20,13 @@
 )
 
 // recordNotices records what an upstream says of itself in the head of an answer to the
-// request with the given ID. Another upstream at the address says nothing of this one.
-func (g *Gateway) recordNotices(in registry.Instance, head ResponseHead, id string) {
+// request with the given ID, which was sent at sentAt; sentAt is zero for a control call.
+// Another upstream at the address says nothing of this one.
+func (g *Gateway) recordNotices(in registry.Instance, head ResponseHead, id string, sentAt time.Time) {
 	if head.Misdirected {
 		return
 	}
+	g.recordLimit(in, head, id, sentAt)
 	if head.Leaving {
 		news := false
 		g.withTracker(func(b *placement.Tracker) { news = b.SaidLeaving(in) })
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -85,6 +85,10 @@
 	// PauseErr tells why a pause cannot be read.
 	Pause    time.Duration
 	PauseErr error
+	// Limit is how many requests a second the upstream takes from all daemons together;
+	// nil if it names no limit. LimitErr tells why a limit cannot be read.
+	Limit    *float64
+	LimitErr error
 }
 
 // EngineReport is the state that an engine reports.
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -353,7 +353,7 @@
 	}
 	defer resp.Body.Close()
 	if g.answeredBy(in, resp.Header) {
-		g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), "")
+		g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), "", time.Time{})
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -401,6 +401,7 @@
 func (s *stream) read(ctx context.Context, p assignment, out *eventQueue) {
 	send := func(m runMessage) bool { return out.send(ctx, m) }
 	a := Attempt{Call: s.r.Call, Instance: p.upstream, Account: s.r.account, TimeLeft: s.r.timeLeft(time.Now()), LastEventID: s.lastEventID, CopyTo: p.copyTo.Address, RestoreFrom: p.restoreFrom}
+	sentAt := time.Now()
 	resp, err := s.g.o.Pool.Do(ctx, s.g.upstreamRequest(s.r, a))
 	if err != nil {
 		send(runMessage{end: true, verdict: verdictOfError(ctx, err), err: err})
@@ -408,7 +409,7 @@
 	}
 	defer resp.Body.Close()
 	head := s.g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header)
-	s.g.recordNotices(p.upstream, head, s.r.ID)
+	s.g.recordNotices(p.upstream, head, s.r.ID, sentAt)
 	if head.Load != nil {
 		s.g.withTracker(func(b *placement.Tracker) { b.SetLoad(p.upstream.ID, *head.Load, time.Now()) })
 	}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -273,7 +273,7 @@
 	}
 	defer resp.Body.Close()
 	head := g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header)
-	g.recordNotices(in, head, r.ID)
+	g.recordNotices(in, head, r.ID, began)
 	body, reserved, err := g.heldBodies.readResponse(resp.Body)
 	r.heldResponseBytes += reserved
 	if err != nil {
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -130,15 +130,16 @@
 }
 
 // DropNotices forgets what upstreams said that are no longer registered, that have
-// started anew, or whose pause is over.
+// started anew, or whose pause or limit is over.
 func (t *Tracker) DropNotices(registered []registry.Instance, now time.Time) {
-	if len(t.notices) == 0 {
+	if len(t.notices) == 0 && len(t.limits) == 0 {
 		return
 	}
 	known := make(map[string]int64, len(registered))
 	for _, in := range registered {
 		known[in.ID] = in.StartUnixMilli
 	}
+	t.dropLimits(known, now)
 	for id, n := range t.notices {
 		start, ok := known[id]
 		switch {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,6 +123,8 @@
 	// notices holds what upstreams said of themselves, by instance ID, for those that
 	// leave or asked for a pause.
 	notices map[string]*notice
+	// limits holds the limits that upstreams name, by instance ID.
+	limits map[string]*limit
 }
 
 // group identifies the upstreams of a service in one data centre, which tend to
@@ -131,7 +133,7 @@
 
 // NewTracker returns a tracker for a daemon in the given data centre.
 func NewTracker(dataCentre string, rnd *rand.Rand) *Tracker {
-	return &Tracker{dataCentre: dataCentre, rnd: rnd, upstreams: map[string]*upstreamState{}, notices: map[string]*notice{}}
+	return &Tracker{dataCentre: dataCentre, rnd: rnd, upstreams: map[string]*upstreamState{}, notices: map[string]*notice{}, limits: map[string]*limit{}}
 }
 
 func (t *Tracker) state(id string) *upstreamState {
