gateway: keep to the limits that upstreams name

What callers saw: nothing; requests were served.

Cause: the limit was not read. A limit is for all daemons together and no daemon sees what the others send, so that reading it alone does not help: each daemon would send the whole limit.

Change: the new pure package ratelimit computes each daemon's part from the number of daemons, without messages. Otherwise time is divided into slots that belong to one daemon in turn; a slot not used within about 1 to 2 s expires. The slots run by the time of day at the daemon's start and the time since, so that a clock that jumps does not move them, and are dimensioned for three tenths of the daemons with wrong clocks. Where equal rates are possible they need no clock at all; they are preferred down to 0.4 of the limit, because a daemon with few requests then nearly always has a permit.

placement takes a permit when a request is really sent: first tries, retries, continuations and restored streams. An upstream without one is left out of the choice, and so of load queries. If all are, the request reserves the next permit if that comes in time, so that no two wait for the same one, and is refused at once otherwise (503 upstreams_limited, with the time of the next permit, spread at random up to twice as long). A limit of 0 is asked again with 0.1 a second.

The simulation of ratelimit keeps every 4 s window for 1, 6, 9, 81 and 295 daemons and limits of 0.5 to 20 with demand everywhere, bursts, wrong and jumping clocks, differing lists of the fleet and changing limits, and uses the stated share of the limit.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.SetRegistered(v.All)
+	g.tracker.SetDaemons(v.Peers, g.o.Name, time.Now())
 	g.tracker.DropNotices(v.All, time.Now())
 	limitedUpstreams.Set(float64(g.tracker.LimitedUpstreams()))
 	g.updateCutovers(v, time.Now())
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
@@ -40,3 +42,58 @@
 		log.Warn("limit of an upstream ignored", "cause", head.LimitErr)
 	}
 }
+
+// restorePermitWait is how long a stream waits for a permit at the engine that holds its
+// copy. Reading the prompt again takes about a second.
+const restorePermitWait = 500 * time.Millisecond
+
+// takeFirstPermit returns the first of the upstreams to which a request may be sent now,
+// and takes a permit for it if the upstream names a limit.
+func (g *Gateway) takeFirstPermit(ranked []placement.Ranked) (in registry.Instance, ok bool) {
+	now := time.Now()
+	g.withTracker(func(b *placement.Tracker) {
+		for _, c := range ranked {
+			if ok = b.TakePermit(c.Instance, now); ok {
+				in = c.Instance
+				return
+			}
+		}
+	})
+	return in, ok
+}
+
+// permitExpected reports whether no upstream takes a request now at its own wish, and one
+// that names a limit is the first to take one, before giveUpAt.
+func (g *Gateway) permitExpected(r *request, giveUpAt time.Time) bool {
+	soonest, reason, all := g.allWithdrawn(r, time.Now())
+	return all && reason == placement.NoticeLimit && soonest.Before(giveUpAt)
+}
+
+// awaitPermit reserves the next permit while no upstream takes the request at its own
+// wish, and waits until it can be used, at latest until giveUpAt. Requests that wait have
+// permits of their own.
+func (g *Gateway) awaitPermit(ctx context.Context, r *request, giveUpAt time.Time) (registry.Instance, bool) {
+	if !g.permitExpected(r, giveUpAt) {
+		return registry.Instance{}, false
+	}
+	now := time.Now()
+	upstreams := g.o.Directory.View().Upstreams[r.service]
+	g.mu.Lock()
+	in, at, ok := g.tracker.ReservePermit(g.adopted.Apply(g.ofVersion(r, upstreams)), now, giveUpAt)
+	g.mu.Unlock()
+	if !ok || !pause.For(ctx, at.Sub(now)) || g.withdrawn(in, time.Now()) || !g.registered(in) {
+		return registry.Instance{}, false
+	}
+	countKeptBack(keptBackSent)
+	g.o.Logger.Info("request waited for a permit", "id", r.ID, "upstream", in.ID, "wait", at.Sub(now))
+	return in, true
+}
+
+// awaitPermitAt waits until a request may be sent to an upstream, at most for the given
+// time, and takes a permit for it if the upstream names a limit. It returns false at once
+// if that would take longer.
+func (g *Gateway) awaitPermitAt(ctx context.Context, in registry.Instance, limit time.Duration) bool {
+	now, at, ok := time.Now(), time.Time{}, false
+	g.withTracker(func(b *placement.Tracker) { at, ok = b.ReservePermitAt(in, now, now.Add(limit)) })
+	return ok && (!at.After(now) || pause.For(ctx, at.Sub(now)))
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -67,6 +67,18 @@
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Inc()
 }
 
+// These are the values of the metric label outcome of requests kept back by limits.
+const (
+	keptBackSent    = "sent"
+	keptBackRefused = "refused"
+)
+
+// countKeptBack counts the requests that found no permit at any upstream: those sent after
+// a wait for one, and those refused.
+func countKeptBack(outcome string) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_kept_back_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // countCutoverOutcome counts the outcomes of requests to a service that is being
 // moved to another version.
 func countCutoverOutcome(target, bad bool) {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -13,10 +13,12 @@
 // for a pause. It is no failure of the upstream.
 var errPauseAsked = errors.New("upstream asked for a pause")
 
-// The codes of refusals while all upstreams of a service get no work at their own request.
+// The codes of refusals while all upstreams of a service get no work at their own request;
+// codeLimited while the soonest of them is one that names a limit.
 const (
 	codePaused  = "upstreams_paused"
 	codeLeaving = "upstreams_leaving"
+	codeLimited = "upstreams_limited"
 )
 
 // recordNotices records what an upstream says of itself in the head of an answer to the
@@ -78,9 +80,9 @@
 }
 
 // allWithdrawn reports whether all upstreams that may serve a request get no work by
-// their own request, and when the first of them takes work again; the zero time if all of
-// them leave.
-func (g *Gateway) allWithdrawn(r *request, now time.Time) (soonest time.Time, all bool) {
+// their own request, and when the first of them takes work again and why not before; the
+// zero time if all of them leave.
+func (g *Gateway) allWithdrawn(r *request, now time.Time) (soonest time.Time, reason placement.NoticeReason, all bool) {
 	upstreams := g.o.Directory.View().Upstreams[r.service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -91,7 +93,7 @@
 // before giveUpAt at its own request, and the time after which one does; the code is empty
 // if the request should wait.
 func (g *Gateway) refuseIfAllWithdrawn(r *request, now, giveUpAt time.Time) (code string, retryAfter time.Duration) {
-	soonest, all := g.allWithdrawn(r, now)
+	soonest, reason, all := g.allWithdrawn(r, now)
 	switch {
 	case !all:
 		return "", 0
@@ -103,7 +105,14 @@
 	case soonest.Before(giveUpAt):
 		return "", 0
 	}
-	return codePaused, max(soonest.Sub(now), time.Millisecond)
+	wait := max(soonest.Sub(now), time.Millisecond)
+	if reason == placement.NoticeLimit {
+		countKeptBack(keptBackRefused)
+		// There is one permit at a time: clients that were refused together return spread
+		// over the time of the next ones.
+		return codeLimited, wait + time.Duration(g.randomFloat()*float64(wait))
+	}
+	return codePaused, wait
 }
 
 // countWithdrawn counts the candidates of a choice that are left out at their own request.
@@ -113,7 +122,7 @@
 		return
 	}
 	for _, in := range candidates {
-		if reason, _ := g.tracker.Notice(in, now); reason != placement.NoNotice {
+		if reason, _ := g.tracker.Withheld(in, now); reason != placement.NoNotice {
 			countLeftOut(reason)
 		}
 	}
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -77,8 +77,20 @@
 				return s.withCopyTarget(assignment{upstream: in}, ranked), true
 			}
 		}
+		giveUpAt := s.r.arrivedAt.Add(time.Duration(streamSearchShare * float64(s.r.route.TargetLatency)))
+		permitUntil := giveUpAt
+		if !s.lastEventAt.IsZero() {
+			permitUntil = s.lastEventAt.Add(maxContinueWait)
+		}
+		if s.g.permitExpected(s.r, permitUntil) {
+			if !s.awaitRetryBudget(ctx) {
+				return assignment{}, false
+			}
+			if in, ok := s.reserveWithPermit(ctx, permitUntil); ok {
+				return s.withCopyTarget(assignment{upstream: in}, s.candidates()), true
+			}
+		}
 		if !s.headSent && s.runs == 0 {
-			giveUpAt := s.r.arrivedAt.Add(time.Duration(streamSearchShare * float64(s.r.route.TargetLatency)))
 			if s.stopReason, s.retryAfter = s.g.refuseIfAllWithdrawn(s.r, now.Add(delay), giveUpAt); s.stopReason != "" {
 				return assignment{}, false
 			}
@@ -108,6 +120,15 @@
 	return ok
 }
 
+// reserveWithPermit waits for the next permit, at latest until giveUpAt, and reserves a slot
+// at its upstream.
+func (s *stream) reserveWithPermit(ctx context.Context, giveUpAt time.Time) (in registry.Instance, ok bool) {
+	if in, ok = s.g.awaitPermit(ctx, s.r, giveUpAt); ok {
+		s.g.withTracker(func(b *placement.Tracker) { ok = b.ReserveSlot(in, time.Now()) })
+	}
+	return in, ok
+}
+
 // candidates returns the upstreams to which the next run may go, best first. A
 // stream that lost an upstream waits for a slot at one without a recent failure
 // before it tries one that failed lately, because that one may accept the
@@ -163,16 +184,22 @@
 
 // withCopyTarget adds the upstream that receives a copy of the run's KV cache.
 // It is in another data centre, because the upstreams of a data centre fail
-// together.
+// together. One that names a limit is the last choice.
 func (s *stream) withCopyTarget(p assignment, ranked []placement.Ranked) assignment {
 	if s.r.engine == nil || !s.r.engine.Backups || !s.r.route.Resumable {
 		return p
 	}
 	for _, c := range ranked {
-		if c.DataCentre != p.upstream.DataCentre && !c.Paused {
+		if c.DataCentre == p.upstream.DataCentre || c.Paused {
+			continue
+		}
+		if !c.Limited {
 			p.copyTo = c.Instance
 			return p
 		}
+		if p.copyTo.ID == "" {
+			p.copyTo = c.Instance
+		}
 	}
 	return p
 }
@@ -184,7 +211,11 @@
 	if !s.awaitRetryBudget(ctx) {
 		return p, false
 	}
-	// This is checked after the wait, in which the engine may have announced that
+	if !s.g.awaitPermitAt(ctx, p.copyTo, restorePermitWait) {
+		s.g.o.Logger.Info("engine with the copy names a limit", "id", s.r.ID, "copy", p.copyTo.ID)
+		return s.findUpstream(ctx)
+	}
+	// This is checked after the waits, in which the engine may have announced that
 	// it leaves.
 	if !s.g.registered(p.copyTo) || s.g.withdrawn(p.copyTo, time.Now()) {
 		s.g.o.Logger.Info("engine with the copy is leaving or no longer registered", "id", s.r.ID, "copy", p.copyTo.ID)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -137,6 +137,13 @@
 			return registry.Instance{}, false
 		}
 		ranked := t.g.rank(t.r, t.excluded)
+		hasPermit := false
+		if len(ranked) == 0 && t.runs == 0 {
+			var in registry.Instance
+			if in, hasPermit = t.g.awaitPermit(ctx, t.r, t.giveUpAt()); hasPermit {
+				ranked = []placement.Ranked{{Instance: in}}
+			}
+		}
 		if len(ranked) > 0 {
 			if t.attemptTracker.TakePause() {
 				pause.For(ctx, initialRetryPause)
@@ -149,7 +156,13 @@
 				}
 				t.attemptTracker.BudgetGranted()
 			}
-			return ranked[0].Instance, true
+			if hasPermit {
+				return ranked[0].Instance, true
+			}
+			if in, ok := t.g.takeFirstPermit(ranked); ok {
+				return in, true
+			}
+			continue
 		}
 		if t.runs == 0 {
 			if t.stopReason, t.retryAfter = t.g.refuseIfAllWithdrawn(t.r, now.Add(t.pause), t.giveUpAt()); t.stopReason != "" {
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/gooseberryroad/gooseberryroad/membership"
+	"github.com/gooseberryroad/gooseberryroad/ratelimit"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
 
@@ -14,6 +16,60 @@
 // that one that is named again at once goes on from what was sent before.
 const limitMemory = 10 * time.Second
 
+// daemonMemory is how long a daemon counts after it was last registered. One that is
+// restarted, or seen again, sends as much as before.
+const daemonMemory = 10 * time.Second
+
+// fleet holds the daemons that share the limits of upstreams.
+type fleet struct {
+	self string
+	// epoch is when the first list of daemons came. Slots are counted from it.
+	epoch time.Time
+	// registeredAt is when each daemon was last registered.
+	registeredAt map[string]time.Time
+	// version counts the changes of the list.
+	version int
+}
+
+// place returns the place of this daemon among those that send to an upstream. The order
+// differs from one upstream to the other, so that the turns of a daemon are spread.
+func (f *fleet) place(upstream string) ratelimit.Fleet {
+	out := ratelimit.Fleet{Daemons: max(len(f.registeredAt), 1)}
+	own := membership.RendezvousWeight(upstream, f.self)
+	for name := range f.registeredAt {
+		if name != f.self && membership.RendezvousWeight(upstream, name) < own {
+			out.Index++
+		}
+	}
+	return out
+}
+
+// SetDaemons sets the names of the registered daemons, which share the limits of
+// upstreams, and that of this one.
+func (t *Tracker) SetDaemons(names []string, self string, now time.Time) {
+	f := &t.fleet
+	if f.epoch.IsZero() {
+		f.epoch, f.registeredAt = now, map[string]time.Time{}
+	}
+	changed := f.self != self
+	f.self = self
+	for _, name := range append([]string{self}, names...) {
+		if _, known := f.registeredAt[name]; !known {
+			changed = true
+		}
+		f.registeredAt[name] = now
+	}
+	for name, at := range f.registeredAt {
+		if now.Sub(at) > daemonMemory {
+			delete(f.registeredAt, name)
+			changed = true
+		}
+	}
+	if changed {
+		f.version++
+	}
+}
+
 // limit is the number of requests that an upstream takes from all daemons together.
 type limit struct {
 	// startUnixMilli tells apart the processes that have the same ID.
@@ -26,6 +82,9 @@
 	endedAt time.Time
 	// reportedAt is when a change was last reported.
 	reportedAt time.Time
+	// limiter gives this daemon's permits, for the limit and the fleet of fleetVersion.
+	limiter      *ratelimit.Limiter
+	fleetVersion int
 	// unreadable is set from an answer whose limit cannot be read to one without such.
 	unreadable bool
 	// unregisteredAt is when the upstream was first seen to be no longer registered.
@@ -77,10 +136,82 @@
 	if news != LimitUnchanged {
 		l.reportedAt = now
 	}
+	if l.rate != rate {
+		l.fleetVersion = -1
+	}
 	l.rate, l.heardAt, l.endedAt, l.unreadable = rate, now, time.Time{}, false
 	return news
 }
 
+// limiterOf returns the limiter of an upstream; nil if the upstream names no limit.
+func (t *Tracker) limiterOf(in registry.Instance, now time.Time) *ratelimit.Limiter {
+	l := t.limitOf(in)
+	if l == nil {
+		return nil
+	}
+	if t.fleet.epoch.IsZero() {
+		t.fleet.epoch = now
+	}
+	switch {
+	case l.limiter == nil:
+		l.limiter = ratelimit.New(l.rate, t.fleet.place(in.ID), t.fleet.epoch, now)
+	case l.fleetVersion != t.fleet.version:
+		l.limiter.Set(l.rate, t.fleet.place(in.ID), now)
+	}
+	l.fleetVersion = t.fleet.version
+	return l.limiter
+}
+
+// Limited reports whether an upstream names a limit, and when this daemon may next send a
+// request to it.
+func (t *Tracker) Limited(in registry.Instance, now time.Time) (next time.Time, limited bool) {
+	l := t.limiterOf(in, now)
+	if l == nil {
+		return now, false
+	}
+	return l.Next(now), true
+}
+
+// TakePermit reports whether a request may be sent to an upstream now, and takes a permit
+// for it if the upstream names a limit.
+func (t *Tracker) TakePermit(in registry.Instance, now time.Time) bool {
+	_, ok := t.ReservePermitAt(in, now, now)
+	return ok
+}
+
+// ReservePermitAt returns when a request may be sent to an upstream, at latest or before,
+// and takes a permit for it if the upstream names a limit.
+func (t *Tracker) ReservePermitAt(in registry.Instance, now, latest time.Time) (at time.Time, ok bool) {
+	l := t.limiterOf(in, now)
+	if l == nil {
+		return now, true
+	}
+	return l.Reserve(now, latest)
+}
+
+// ReservePermit takes the first permit of all candidates that can be used at latest or
+// before, and returns the upstream and when it can be used. Upstreams that get no work for
+// another reason are passed over, and so are those without a limit, for which nothing has
+// to be reserved.
+func (t *Tracker) ReservePermit(candidates []registry.Instance, now, latest time.Time) (first registry.Instance, at time.Time, ok bool) {
+	if len(t.limits) == 0 {
+		return registry.Instance{}, time.Time{}, false
+	}
+	for _, in := range candidates {
+		next, limited := t.Limited(in, now)
+		if !limited || next.After(latest) || ok && !next.Before(at) || t.unavailable(in, now) {
+			continue
+		}
+		if reason, _ := t.Notice(in, now); reason == NoNotice {
+			first, at, ok = in, next, true
+		}
+	}
+	if ok {
+		at, ok = t.ReservePermitAt(first, now, latest)
+	}
+	return first, at, ok
+}
+
 // SaidUnreadableLimit records an answer whose limit cannot be read. What was known of the
 // limit stays.
 func (t *Tracker) SaidUnreadableLimit(in registry.Instance) LimitNews {
--- a/placement/limits_test.go
+++ b/placement/limits_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gooseberryroad/gooseberryroad/placement"
+	"github.com/gooseberryroad/gooseberryroad/ratelimit"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 )
 
@@ -58,4 +60,117 @@
 		tracker.DropNotices(nil, now.Add(2*time.Minute))
 		Expect(tracker.LimitedUpstreams()).To(BeZero())
 	})
+
+	const limit = 2.0
+	fleetOf := func(n int) []*placement.Tracker {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprint("d", i))
+		}
+		var out []*placement.Tracker
+		for i := range n {
+			t := placement.NewTracker("here", rand.New(rand.NewPCG(uint64(i), 1)))
+			t.SetDaemons(names, names[i], now)
+			t.SaidLimit(in, limit, now)
+			out = append(out, t)
+		}
+		return out
+	}
+	takeAll := func(t *placement.Tracker, at time.Time) int {
+		n := 0
+		for t.TakePermit(in, at) {
+			n++
+		}
+		return n
+	}
+
+	// Guards against daemons that each send the whole limit, and against two requests that
+	// ranked an upstream at the same moment and take the same permit.
+	It("shares a limit among the daemons, and gives a permit once", func() {
+		for _, n := range []int{1, 6, 9, 295} {
+			sent := 0
+			for _, t := range fleetOf(n) {
+				Expect(t.TakePermit(registry.Instance{ID: "other"}, now)).To(BeTrue())
+				for at := now; at.Before(now.Add(4 * time.Second)); at = at.Add(10 * time.Millisecond) {
+					sent += takeAll(t, at)
+				}
+			}
+			Expect(sent).To(BeNumerically("<=", int(ratelimit.Allowed(limit))), "%d daemons", n)
+			Expect(sent).To(BeNumerically(">=", 4), "%d daemons", n)
+		}
+	})
+
+	// Guards against requests, and queries of the load, to an upstream whose part is used up.
+	It("leaves out an upstream while this daemon has no permit", func() {
+		t := fleetOf(6)[0]
+		other := registry.Instance{ID: "up1", Service: "tags", DataCentre: "here"}
+		ranked := func(at time.Time) []string {
+			var ids []string
+			for _, r := range t.Rank([]registry.Instance{in, other}, 0, at) {
+				Expect(r.Limited).To(Equal(r.ID == in.ID))
+				ids = append(ids, r.ID)
+			}
+			return ids
+		}
+		Expect(ranked(now)).To(ConsistOf("up0", "up1"))
+		for t.Reserve(in, now) {
+		}
+		Expect(ranked(now)).To(ConsistOf("up1"))
+		reason, until := t.Withheld(in, now)
+		Expect(reason).To(Equal(placement.NoticeLimit))
+		Expect(ranked(until)).To(ConsistOf("up0", "up1"))
+		_, _, every := t.AllWithdrawn([]registry.Instance{in, other}, now)
+		Expect(every).To(BeFalse())
+		soonest, why, every := t.AllWithdrawn([]registry.Instance{in}, now)
+		Expect(every).To(BeTrue())
+		Expect(why).To(Equal(placement.NoticeLimit))
+		Expect(soonest).To(Equal(until))
+	})
+
+	// Guards against requests that all wait for the same permit, and against one that waits
+	// for an upstream that leaves.
+	It("reserves the next permits in turn, at upstreams that take work", func() {
+		t := fleetOf(6)[0]
+		leaving := registry.Instance{ID: "up1", Service: "tags", DataCentre: "here"}
+		t.SaidLimit(leaving, 100, now)
+		t.SaidLeaving(leaving)
+		all := []registry.Instance{in, leaving}
+		takeAll(t, now)
+		next, _ := t.Limited(in, now)
+		_, _, ok := t.ReservePermit(all, now, next.Add(-time.Millisecond))
+		Expect(ok).To(BeFalse())
+		from, first, ok := t.ReservePermit(all, now, now.Add(time.Minute))
+		Expect(ok).To(BeTrue())
+		Expect(from).To(Equal(in))
+		Expect(first).To(Equal(next))
+		_, second, ok := t.ReservePermit(all, now, now.Add(time.Minute))
+		Expect(ok).To(BeTrue())
+		Expect(second).To(BeTemporally(">", first.Add(time.Second)))
+		Expect(t.TakePermit(in, first)).To(BeFalse(), "it is reserved")
+	})
+
+	// Guards against new permits for a limit that ends and is named again at once.
+	It("goes on from what was sent when a limit is named again", func() {
+		t := fleetOf(6)[0]
+		Expect(takeAll(t, now)).To(BeNumerically(">", 0))
+		t.SaidNoLimit(in, now.Add(time.Millisecond), now.Add(time.Millisecond))
+		Expect(t.TakePermit(in, now.Add(2*time.Millisecond))).To(BeTrue())
+		t.SaidLimit(in, limit, now.Add(3*time.Millisecond))
+		Expect(t.TakePermit(in, now.Add(4*time.Millisecond))).To(BeFalse())
+		restarted := in
+		restarted.StartUnixMilli = 200
+		Expect(takeAll(t, now)).To(BeZero())
+		Expect(t.TakePermit(restarted, now)).To(BeTrue(), "it named no limit")
+	})
+
+	// Guards against larger parts for the others while a daemon is restarted, which then
+	// sends as well.
+	It("counts a daemon that was registered a moment ago", func() {
+		t := fleetOf(2)[0]
+		alone := fleetOf(1)[0]
+		t.SetDaemons(nil, "d0", now.Add(time.Second))
+		Expect(takeAll(t, now.Add(time.Second))).To(BeNumerically("<", takeAll(alone, now.Add(time.Second))))
+		t.SetDaemons(nil, "d0", now.Add(time.Minute))
+		Expect(takeAll(t, now.Add(time.Minute))).To(Equal(takeAll(alone, now.Add(time.Minute))))
+	})
 })
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -40,6 +40,7 @@
 	NoNotice      NoticeReason = ""
 	NoticeLeaving NoticeReason = "leaving"
 	NoticePause   NoticeReason = "pause"
+	NoticeLimit   NoticeReason = "limit"
 )
 
 // noticeOf returns what the upstream said; nil if it said nothing. What another
@@ -101,26 +102,40 @@
 	return NoNotice, time.Time{}
 }
 
+// Withheld returns why an upstream gets no request now: its notice, or its limit if this
+// daemon has no permit. The time is when that ends, and zero if it leaves.
+func (t *Tracker) Withheld(in registry.Instance, now time.Time) (NoticeReason, time.Time) {
+	if reason, until := t.Notice(in, now); reason != NoNotice {
+		return reason, until
+	}
+	if next, _ := t.Limited(in, now); next.After(now) {
+		return NoticeLimit, next
+	}
+	return NoNotice, time.Time{}
+}
+
 // AllWithdrawn reports whether all candidates get no work at their own request: the soonest
-// end of a pause, or the zero time if all of them leave.
-func (t *Tracker) AllWithdrawn(candidates []registry.Instance, now time.Time) (soonest time.Time, all bool) {
-	if len(t.notices) == 0 || len(candidates) == 0 {
-		return time.Time{}, false
+// end of a pause or of the wait for a permit and which of both it is, or the zero time if
+// all of them leave.
+func (t *Tracker) AllWithdrawn(candidates []registry.Instance, now time.Time) (soonest time.Time, reason NoticeReason, all bool) {
+	if !t.HasNotices() || len(candidates) == 0 {
+		return time.Time{}, NoNotice, false
 	}
+	reason = NoticeLeaving
 	for _, in := range candidates {
-		reason, until := t.Notice(in, now)
+		r, until := t.Withheld(in, now)
 		switch {
-		case reason == NoNotice:
-			return time.Time{}, false
-		case reason == NoticePause && (soonest.IsZero() || until.Before(soonest)):
-			soonest = until
+		case r == NoNotice:
+			return time.Time{}, NoNotice, false
+		case r != NoticeLeaving && (soonest.IsZero() || until.Before(soonest)):
+			soonest, reason = until, r
 		}
 	}
-	return soonest, true
+	return soonest, reason, true
 }
 
-// HasNotices reports whether an upstream leaves or asked for a pause.
-func (t *Tracker) HasNotices() bool { return len(t.notices) > 0 }
+// HasNotices reports whether an upstream leaves, asked for a pause or named a limit.
+func (t *Tracker) HasNotices() bool { return len(t.notices) > 0 || len(t.limits) > 0 }
 
 // resumed notes that an upstream accepted a request.
 func (t *Tracker) resumed(id string) {
--- a/placement/notices_test.go
+++ b/placement/notices_test.go
@@ -41,7 +41,7 @@
 		tracker.SaidLeaving(all[1])
 		tracker.SaidLeaving(all[2])
 		Expect(ranked(now.Add(time.Hour))).To(BeEmpty())
-		soonest, every := tracker.AllWithdrawn(all, now)
+		soonest, _, every := tracker.AllWithdrawn(all, now)
 		Expect(every).To(BeTrue())
 		Expect(soonest).To(BeZero())
 	})
@@ -107,14 +107,14 @@
 	// A request that waits for an upstream that is known to turn it away only waits.
 	It("tells when the first of all paused upstreams takes work again", func() {
 		for i, in := range all {
-			_, every := tracker.AllWithdrawn(all, now)
+			_, _, every := tracker.AllWithdrawn(all, now)
 			Expect(every).To(BeFalse())
 			tracker.AskedPause(in, time.Duration(5-i)*time.Second, now)
 		}
-		soonest, every := tracker.AllWithdrawn(all, now)
+		soonest, _, every := tracker.AllWithdrawn(all, now)
 		Expect(every).To(BeTrue())
 		Expect(soonest).To(And(BeTemporally(">=", now.Add(3*time.Second)), BeTemporally("<=", now.Add(3300*time.Millisecond))))
-		_, every = tracker.AllWithdrawn(nil, now)
+		_, _, every = tracker.AllWithdrawn(nil, now)
 		Expect(every).To(BeFalse())
 	})
 })
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,8 +123,10 @@
 	// notices holds what upstreams said of themselves, by instance ID, for those that
 	// leave or asked for a pause.
 	notices map[string]*notice
-	// limits holds the limits that upstreams name, by instance ID.
+	// limits holds the limits that upstreams name, by instance ID; fleet the daemons that
+	// share them.
 	limits map[string]*limit
+	fleet  fleet
 }
 
 // group identifies the upstreams of a service in one data centre, which tend to
@@ -169,9 +171,19 @@
 }
 
 // Reserve counts a request that is sent to an upstream and returns true, unless
-// all slots of the upstream are taken. Requests that ranked the upstreams at the
-// same time take each other into account only here.
+// all slots of the upstream are taken or the upstream names a limit and this daemon has no
+// permit. Requests that ranked the upstreams at the same time take each other into account
+// only here.
 func (t *Tracker) Reserve(in registry.Instance, now time.Time) bool {
+	if t.state(in.ID).slotsTaken(in, now) || !t.TakePermit(in, now) {
+		return false
+	}
+	t.Begin(in)
+	return true
+}
+
+// ReserveSlot does the same for a request that has a permit, if one is needed.
+func (t *Tracker) ReserveSlot(in registry.Instance, now time.Time) bool {
 	if t.state(in.ID).slotsTaken(in, now) {
 		return false
 	}
@@ -338,14 +350,17 @@
 	// SlotsTaken upstreams run as many requests as they have slots, by their last
 	// load report, if it is fresh, and the requests sent to them since.
 	SlotsTaken bool
+	// Limited upstreams name a limit of requests, for which this daemon has a permit.
+	Limited bool
 	// Score is the expected load; lower is better.
 	Score float64
 }
 
 // Rank returns the candidates in order, best first. Paused upstreams come last;
 // upstreams of a data centre whose upstreams fail together get a worse score.
-// Those that were replaced, that leave or asked for a pause, or to which no connection
-// could be opened a moment ago, are left out. remotePenalty is the number of additional requests at which
+// Those that were replaced, that leave or asked for a pause, that name a limit for which
+// this daemon has no permit, or to which no connection could be opened a moment ago, are
+// left out. remotePenalty is the number of additional requests at which
 // an upstream of another data centre is preferred: traffic between data centres
 // costs money, and a data centre that is cut off loses what runs outside it.
 func (t *Tracker) Rank(candidates []registry.Instance, remotePenalty float64, now time.Time) []Ranked {
@@ -361,12 +376,16 @@
 	out := make([]Ranked, 0, len(candidates))
 	for _, in := range candidates {
 		s := t.state(in.ID)
-		if now.Before(s.replacedUntil) || now.Before(s.unconnectedUntil) {
+		if t.unavailable(in, now) {
 			continue
 		}
 		if reason, _ := t.Notice(in, now); reason != NoNotice {
 			continue
 		}
+		next, limited := t.Limited(in, now)
+		if next.After(now) {
+			continue
+		}
 		groupFails := failing[group{in.Service, in.DataCentre}]
 		out = append(out, Ranked{
 			Instance:       in,
@@ -375,6 +394,7 @@
 			Full:           now.Before(s.fullUntil) || s.refusalPending(now),
 			SlotsTaken:     s.slotsTaken(in, now),
 			Crowded:        mostFailed && s.prefilling > 0,
+			Limited:        limited,
 			Score:          t.score(in, s, average, groupFails, remotePenalty, now),
 		})
 	}
@@ -404,6 +424,13 @@
 	return slices.DeleteFunc(slices.Clone(ranked), func(r Ranked) bool { return r.Full || r.Crowded })
 }
 
+// unavailable reports whether another upstream answers at the address of this one, or no
+// connection could be opened a moment ago.
+func (t *Tracker) unavailable(in registry.Instance, now time.Time) bool {
+	s := t.upstreams[in.ID]
+	return s != nil && (now.Before(s.replacedUntil) || now.Before(s.unconnectedUntil))
+}
+
 func (s *upstreamState) slotsTaken(in registry.Instance, now time.Time) bool {
 	slots := s.slots(in)
 	running := s.load.Running + max(s.inflight-s.inflightAtLoad, 0)
