gateway: streams find engines while most of a large fleet's engines are limited

Cause: a daemon has permits for about two limited engines at a time. It asks five engines for their load, learns in the answers that most of them have a limit, and may use none of these. So it was left with the one or two others, mostly in its own data centre: 91 of 112 streams went to 36 engines, up to 7 in 3 s to one. Few engines were known to have a limit (1,755 of 6,468 pairs), so nearly each stream met that.

Change: an engine that named its limit when it was asked gets the stream for which it was asked, once for each daemon, for 300 ms. The bound of the users' rule holds for a daemon from 0.5 s after it passed on an answer with the limit; an answer to a request gives no such permit. Engines with a limit get their share of the questions, as far as there are permits, and further engines are asked when limits leave fewer than three to choose from.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -20,7 +20,7 @@
 		case head.LimitErr != nil:
 			news = b.SaidUnreadableLimit(in)
 		case head.Limit != nil:
-			news = b.SaidLimit(in, *head.Limit, now)
+			news = b.SaidLimit(in, *head.Limit, sentAt.IsZero(), now)
 		case head.Sealed:
 			news = b.SaidNoLimit(in, sentAt, now)
 		}
@@ -62,6 +62,14 @@
 	return in, ok
 }
 
+// limitedShare returns the part of the upstreams of a request that name a limit.
+func (g *Gateway) limitedShare(r *request) float64 {
+	upstreams := g.o.Directory.View().Upstreams[r.service]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.LimitedShare(g.adopted.Apply(g.ofVersion(r, upstreams)))
+}
+
 // permitExpected reports whether no upstream takes a request now at its own wish, and one
 // that names a limit is the first to take one, before giveUpAt.
 func (g *Gateway) permitExpected(r *request, giveUpAt time.Time) bool {
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -245,6 +245,7 @@
 		return g.tracker.Rank(of, r.remoteBias(), began)
 	}
 	plan := placement.NewProbePlan(ranked, r.PromptPartID, g.o.DataCentre)
+	plan.ForLimits(g.limitedShare(r))
 	if repeat {
 		plan.ForRepeat()
 	}
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -78,6 +78,9 @@
 	rate float64
 	// heardAt is when the last answer that names the limit came.
 	heardAt time.Time
+	// askedAt is when the limit was heard in the answer to a query, if that was first; zero if
+	// a request was answered.
+	askedAt time.Time
 	// endedAt is when the upstream named no limit any more; zero while it names one.
 	endedAt time.Time
 	// reportedAt is when a change was last reported.
@@ -123,13 +126,17 @@
 	return l
 }
 
-// SaidLimit records that an upstream named a limit in requests a second.
-func (t *Tracker) SaidLimit(in registry.Instance, rate float64, now time.Time) LimitNews {
+// SaidLimit records that an upstream named a limit in requests a second. asked says that it
+// did so in the answer to a query, not to a request.
+func (t *Tracker) SaidLimit(in registry.Instance, rate float64, asked bool, now time.Time) LimitNews {
 	l := t.addLimit(in)
 	news := LimitUnchanged
 	switch {
 	case !l.named():
 		news = LimitNamed
+		if asked {
+			l.askedAt = now
+		}
 	case l.rate != rate && now.Sub(l.reportedAt) >= limitLogInterval:
 		news = LimitChanged
 	}
@@ -155,6 +162,9 @@
 	switch {
 	case l.limiter == nil:
 		l.limiter = ratelimit.New(l.rate, t.fleet.place(in.ID), t.fleet.epoch, now)
+		if !l.askedAt.IsZero() {
+			l.limiter.PermitFirst(l.askedAt)
+		}
 	case l.fleetVersion != t.fleet.version:
 		l.limiter.Set(l.rate, t.fleet.place(in.ID), now)
 	}
@@ -172,6 +182,20 @@
 	return l.Next(now), true
 }
 
+// LimitedShare returns the part of the candidates that name a limit.
+func (t *Tracker) LimitedShare(candidates []registry.Instance) float64 {
+	if len(t.limits) == 0 || len(candidates) == 0 {
+		return 0
+	}
+	limited := 0
+	for _, in := range candidates {
+		if t.limitOf(in) != nil {
+			limited++
+		}
+	}
+	return float64(limited) / float64(len(candidates))
+}
+
 // TakePermit reports whether a request may be sent to an upstream now, and takes a permit
 // for it if the upstream names a limit.
 func (t *Tracker) TakePermit(in registry.Instance, now time.Time) bool {
--- a/placement/limits_test.go
+++ b/placement/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,8 +22,8 @@
 
 	// An answer that was on its way when the upstream named the limit would end it.
 	It("ends a limit only by an answer to a later request", func() {
-		Expect(tracker.SaidLimit(in, 2, now)).To(Equal(placement.LimitNamed))
-		Expect(tracker.SaidLimit(in, 2, now)).To(Equal(placement.LimitUnchanged))
+		Expect(tracker.SaidLimit(in, 2, false, now)).To(Equal(placement.LimitNamed))
+		Expect(tracker.SaidLimit(in, 2, false, now)).To(Equal(placement.LimitUnchanged))
 		Expect(tracker.SaidNoLimit(in, now.Add(-time.Millisecond), now.Add(time.Second))).To(Equal(placement.LimitUnchanged))
 		Expect(tracker.SaidNoLimit(in, time.Time{}, now.Add(time.Second))).To(Equal(placement.LimitUnchanged), "a control call")
 		Expect(tracker.LimitedUpstreams()).To(Equal(1))
@@ -32,10 +33,10 @@
 
 	// An upstream that names another limit in each answer would fill the log.
 	It("reports changes and unreadable limits at most once a second", func() {
-		tracker.SaidLimit(in, 2, now)
+		tracker.SaidLimit(in, 2, false, now)
 		news := 0
 		for i := range 100 {
-			if tracker.SaidLimit(in, float64(i), now.Add(time.Duration(i)*10*time.Millisecond+time.Second/2)) != placement.LimitUnchanged {
+			if tracker.SaidLimit(in, float64(i), false, now.Add(time.Duration(i)*10*time.Millisecond+time.Second/2)) != placement.LimitUnchanged {
 				news++
 			}
 		}
@@ -47,12 +48,12 @@
 
 	// The next process under the ID, or a table that only grows.
 	It("forgets the limits of other processes and of upstreams that are gone", func() {
-		tracker.SaidLimit(in, 2, now)
+		tracker.SaidLimit(in, 2, false, now)
 		restarted := in
 		restarted.StartUnixMilli = 200
 		tracker.DropNotices([]registry.Instance{restarted}, now)
 		Expect(tracker.LimitedUpstreams()).To(BeZero())
-		tracker.SaidLimit(in, 2, now)
+		tracker.SaidLimit(in, 2, false, now)
 		tracker.DropNotices(nil, now)
 		tracker.DropNotices([]registry.Instance{in}, now.Add(time.Second))
 		Expect(tracker.LimitedUpstreams()).To(Equal(1), "the registration was missing for a moment")
@@ -71,7 +72,7 @@
 		for i := range n {
 			t := placement.NewTracker("here", rand.New(rand.NewPCG(uint64(i), 1)))
 			t.SetDaemons(names, names[i], now)
-			t.SaidLimit(in, limit, now)
+			t.SaidLimit(in, limit, false, now)
 			out = append(out, t)
 		}
 		return out
@@ -100,6 +101,26 @@
 		}
 	})
 
+	// Guards against a daemon of a large fleet that can use few of the engines that it asks
+	// for their load, because they name a limit in the answer.
+	It("permits one stream to an engine that named its limit when it was asked", func() {
+		for _, asked := range []bool{true, false} {
+			permits := 0
+			for _, t := range fleetOf(295) {
+				engine := registry.Instance{ID: "e0"}
+				t.SaidLimit(engine, limit, asked, now)
+				for t.TakePermit(engine, now.Add(10*time.Millisecond)) {
+					permits++
+				}
+			}
+			if asked {
+				Expect(permits).To(Equal(295))
+			} else {
+				Expect(permits).To(BeNumerically("<=", int(ratelimit.Allowed(limit))))
+			}
+		}
+	})
+
 	// Guards against requests, and queries of the load, to an upstream whose part is used up.
 	It("leaves out an upstream while this daemon has no permit", func() {
 		t := fleetOf(6)[0]
@@ -132,7 +153,7 @@
 	It("reserves the next permits in turn, at upstreams that take work", func() {
 		t := fleetOf(6)[0]
 		leaving := registry.Instance{ID: "up1", Service: "tags", DataCentre: "here"}
-		t.SaidLimit(leaving, 100, now)
+		t.SaidLimit(leaving, 100, false, now)
 		t.SaidLeaving(leaving)
 		all := []registry.Instance{in, leaving}
 		takeAll(t, now)
@@ -155,7 +176,7 @@
 		Expect(takeAll(t, now)).To(BeNumerically(">", 0))
 		t.SaidNoLimit(in, now.Add(time.Millisecond), now.Add(time.Millisecond))
 		Expect(t.TakePermit(in, now.Add(2*time.Millisecond))).To(BeTrue())
-		t.SaidLimit(in, limit, now.Add(3*time.Millisecond))
+		t.SaidLimit(in, limit, false, now.Add(3*time.Millisecond))
 		Expect(t.TakePermit(in, now.Add(4*time.Millisecond))).To(BeFalse())
 		restarted := in
 		restarted.StartUnixMilli = 200
@@ -173,4 +194,58 @@
 		t.SetDaemons(nil, "d0", now.Add(time.Minute))
 		Expect(takeAll(t, now.Add(time.Minute))).To(Equal(takeAll(alone, now.Add(time.Minute))))
 	})
+
+	// Guards against streams that all go to the few engines without a limit in a large fleet,
+	// in which a daemon has permits for few of the others.
+	It("asks engines with a limit for their load by their share of all", func() {
+		var ranked []placement.Ranked
+		for i := range 40 {
+			ranked = append(ranked, placement.Ranked{
+				Instance: registry.Instance{ID: fmt.Sprint("up", i), Address: fmt.Sprint("10.0.0.", i), DataCentre: []string{"here", "there"}[i%2]},
+				Limited:  i >= 36,
+			})
+		}
+		asked := func(share float64, ranked []placement.Ranked) (limited, others int) {
+			plan := placement.NewProbePlan(ranked, "prompt", "here")
+			plan.ForLimits(share)
+			for _, in := range plan.Next() {
+				if slices.ContainsFunc(ranked, func(r placement.Ranked) bool { return r.ID == in.ID && r.Limited }) {
+					limited++
+				} else {
+					others++
+				}
+			}
+			return limited, others
+		}
+		limited, others := asked(0.7, ranked)
+		Expect([]int{limited, others}).To(Equal([]int{4, 1}))
+		limited, others = asked(0.7, ranked[:37])
+		Expect([]int{limited, others}).To(Equal([]int{1, 4}), "there is one permit")
+		_, others = asked(0, ranked[:36])
+		Expect(others).To(Equal(5))
+	})
+
+	// Guards against a choice between one engine, because the others that were asked named a
+	// limit in their answers.
+	It("asks further engines when limits leave no choice", func() {
+		var ranked []placement.Ranked
+		for i := range 20 {
+			ranked = append(ranked, placement.Ranked{Instance: registry.Instance{ID: fmt.Sprint("up", i), Address: fmt.Sprint("10.0.0.", i), DataCentre: "here"}})
+		}
+		plan := placement.NewProbePlan(ranked, "prompt", "here")
+		for _, in := range plan.Next() {
+			plan.Answered(in)
+		}
+		first := func(n int) func([]registry.Instance) []placement.Ranked {
+			return func(of []registry.Instance) []placement.Ranked {
+				var out []placement.Ranked
+				for _, in := range of[:min(n, len(of))] {
+					out = append(out, placement.Ranked{Instance: in})
+				}
+				return out
+			}
+		}
+		Expect(plan.FoundFreeSlot(first(1))).To(BeFalse())
+		Expect(plan.FoundFreeSlot(first(3))).To(BeTrue())
+	})
 })
--- a/placement/scouts.go
+++ b/placement/scouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/gooseberryroad/gooseberryroad/membership"
@@ -14,6 +15,9 @@
 	// a stream is placed. The cost of these questions is small against that of a stream.
 	localProbes  = 3
 	remoteProbes = 2
+	// minChoice is how many of the engines that answered should be left to choose from: the
+	// less loaded of two is often loaded too when few engines take streams.
+	minChoice = 3
 	// maxProbeRounds bounds how often further engines are asked when all that
 	// answered are full: after a dozen full engines the others are likely to be full
 	// too.
@@ -28,6 +32,9 @@
 	unprobed           []Ranked
 	answered           []registry.Instance
 	rounds             int
+	// limitedProbes is how many of the engines asked at once name a limit, as far as there
+	// are permits for them.
+	limitedProbes int
 	// repeat says that a refusal would count against the retry budget.
 	repeat bool
 }
@@ -42,6 +49,14 @@
 // repeat counts against the retry budget.
 func (p *ProbePlan) ForRepeat() { p.repeat = true }
 
+// ForLimits gives engines that name a limit their share of the questions. share is the part
+// of all engines that name one, with or without a permit at this daemon. Those with a
+// permit are few in a large fleet; without it, the other engines would get nearly all
+// streams.
+func (p *ProbePlan) ForLimits(share float64) {
+	p.limitedProbes = int(math.Round(share * (localProbes + remoteProbes)))
+}
+
 // Next returns the engines to ask now, or none when the search is over. The
 // prompt decides which engines of the daemon's data centre are asked first, so
 // that all daemons of the data centre look for a prompt at the same few engines.
@@ -51,11 +66,17 @@
 	}
 	var targets []registry.Instance
 	var others []Ranked
-	local, remote := 0, 0
-	for _, c := range ByAffinity(p.unprobed, p.prompt) {
+	ordered := ByAffinity(p.unprobed, p.prompt)
+	limited := min(p.limitedProbes, countLimited(ordered))
+	// Those with a limit take the places of remote engines first: most of them are remote.
+	local, remote := max(limited-remoteProbes, 0), min(limited, remoteProbes)
+	for _, c := range ordered {
 		switch {
 		case c.Paused:
 			others = append(others, c)
+		case c.Limited && limited > 0:
+			limited--
+			targets = append(targets, c.Instance)
 		case c.DataCentre == p.dataCentre && local < localProbes:
 			local++
 			targets = append(targets, c.Instance)
@@ -74,6 +95,17 @@
 	return targets
 }
 
+// countLimited returns how many engines that may be asked name a limit.
+func countLimited(engines []Ranked) int {
+	n := 0
+	for _, c := range engines {
+		if c.Limited && !c.Paused {
+			n++
+		}
+	}
+	return n
+}
+
 // Answered records an engine that reported its load.
 func (p *ProbePlan) Answered(in registry.Instance) { p.answered = append(p.answered, in) }
 
@@ -102,9 +134,11 @@
 	return slices.Concat(free, others, taken)
 }
 
-// FoundFreeSlot reports whether an engine that answered has a free slot.
+// FoundFreeSlot reports whether an engine that answered has a free slot, and enough of them
+// are left to choose from although others named a limit in their answers.
 func (p *ProbePlan) FoundFreeSlot(rank func([]registry.Instance) []Ranked) bool {
-	return slices.ContainsFunc(rank(p.answered), func(r Ranked) bool { return !r.SlotsTaken })
+	ranked := rank(p.answered)
+	return len(ranked) >= min(minChoice, len(p.answered)) && slices.ContainsFunc(ranked, func(r Ranked) bool { return !r.SlotsTaken })
 }
 
 // ByAffinity returns engines ordered by the rendezvous hash of a prompt and
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -30,6 +30,9 @@
 	// span is the window with an allowance for requests that are sent at different times
 	// and arrive together.
 	span = Window + 500*time.Millisecond
+	// firstPermit is how long the permit that PermitFirst gives can be used. The users' bound
+	// holds for a daemon from half a second after it heard of a limit.
+	firstPermit = 300 * time.Millisecond
 	// maxSaved is the time whose permits a daemon may save. An upstream in need should not
 	// get at once all that its limit allows in a window.
 	maxSaved = 2 * time.Second
@@ -68,8 +71,10 @@
 // use.
 type Limiter struct {
 	epoch time.Time
-	limit float64
-	fleet Fleet
+	// firstUntil is until when the permit given by PermitFirst can be used.
+	firstUntil time.Time
+	limit      float64
+	fleet      Fleet
 	// interval is the time between two permits.
 	interval time.Duration
 	// credit is how much earlier than interval allows a permit may be used: equal rates
@@ -98,6 +103,11 @@
 	return l
 }
 
+// PermitFirst permits one request outside the slots for a moment, unless one was sent: that
+// for whose choice the upstream was asked for its load, and named the limit in its answer.
+// Without it, a daemon of a large fleet could not use most of the engines that it asks.
+func (l *Limiter) PermitFirst(heardAt time.Time) { l.firstUntil = heardAt.Add(firstPermit) }
+
 // plan computes the rate from the limit and the fleet.
 func (l *Limiter) plan() {
 	limit := min(max(l.limit, minLimit), maxLimit)
@@ -152,6 +162,9 @@
 		}
 		return later(now, at)
 	}
+	if l.lastUse.IsZero() && now.Before(l.firstUntil) {
+		return now
+	}
 	at := now
 	if !l.lastUse.IsZero() {
 		// Holds also when the order of the daemons or their number changes.
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -244,6 +244,35 @@
 		}
 	})
 
+	// Guards against a daemon of a large fleet that asks an engine for its load, hears of a
+	// limit, and looks for another engine again and again.
+	It("permits the request for which an upstream was asked, once", func() {
+		for i := range 295 {
+			l := ratelimit.New(1, ratelimit.Fleet{Daemons: 295, Index: i}, start, start)
+			l.PermitFirst(start)
+			_, ok := l.Reserve(start.Add(60*time.Millisecond), start.Add(60*time.Millisecond))
+			Expect(ok).To(BeTrue())
+			Expect(l.Next(start.Add(70 * time.Millisecond))).To(BeTemporally(">", start.Add(5*time.Second)))
+		}
+	})
+
+	// Guards against permits that the users' bound counts: from half a second after a daemon
+	// heard of the limit.
+	It("keeps the limit although all daemons were asked for at the start", func() {
+		forAll(func(limit float64, n int, what string) {
+			fleet := newFleet(limit, n)
+			for _, d := range fleet {
+				d.limiter.PermitFirst(start)
+			}
+			sent := simulate(rand.New(rand.NewPCG(13, 14)), fleet, 60*time.Second)
+			if n > 100 {
+				Expect(len(sent)).To(BeNumerically(">=", n), what)
+			}
+			sent = slices.DeleteFunc(sent, func(at time.Duration) bool { return at < 500*time.Millisecond })
+			Expect(mostInWindow(sent)).To(BeNumerically("<=", ratelimit.Allowed(limit)), what)
+		})
+	})
+
 	// Guards against a daemon that goes silent for minutes because it used much of a limit
 	// that then fell.
 	It("goes on within 5 s after a fall of the limit", func() {
