soak: upstreams name limits

The soak had no upstream in need that names a limit. The new fault names one of 1 request a second for at least 7 s; the ledger judges each 4 s from 3 s on, over the daemons that had passed on such an answer 0.5 s before, without those that were stopped, killed or cut from the store.

--- a/soak/act.go
+++ b/soak/act.go
@@ -130,6 +130,10 @@
 		s.askForPause(ctx, f)
 		return
 	}
+	if f.Kind == NameLimit {
+		s.nameLimit(ctx, f)
+		return
+	}
 	if f.Kind != Crash && f.Kind != Drain && f.Kind != Announce {
 		began := time.Now()
 		end := u.link.fault(f.Kind)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -152,6 +152,7 @@
 	// announcements are those that upstreams made in their answers alone.
 	announcements  []drain
 	turnedAway     []turnedAway
+	limits         []namedLimits
 	moves          []move
 	poisonRequests []poisonRequest
 	faults         faultIntervals
@@ -194,6 +195,7 @@
 		}
 	}
 	out = append(out, obs.checkPauses()...)
+	out = append(out, obs.checkLimits()...)
 	out = append(out, obs.checkAnnouncements()...)
 	for _, p := range obs.poisonRequests {
 		if violation := obs.checkPoisonRequest(p); violation != "" {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -18,6 +18,7 @@
 	Drain               FaultKind = "leave"      // an upstream registers as draining and stops later
 	Announce            FaultKind = "announce"   // an upstream says in its answers that it leaves, and stops later
 	AskPause            FaultKind = "ask-pause"  // an upstream turns requests away and asks for a pause
+	NameLimit           FaultKind = "limit"      // an upstream names in its answers how many requests a second it takes
 	Reset               FaultKind = "reset"      // all connections of a link are reset
 	Delay               FaultKind = "delay"      // a link forwards bytes late
 	DropToServer        FaultKind = "cut-forth"  // bytes towards the server are dropped
@@ -84,6 +85,7 @@
 	{{Upstreams, SilenceOpen}, {Upstreams, SilenceOpen}, {PeerLinks, SilenceOpen}, {StoreLinks, SilenceOpen}},
 	{{WholeSystem, MoveAfterRevert}, {WholeSystem, MoveAfterRevert}, {Daemons, BurstBodies}, {Daemons, BurstBodies}},
 	{{Upstreams, Announce}, {Upstreams, Announce}, {Upstreams, AskPause}, {Upstreams, AskPause}},
+	{{Upstreams, NameLimit}, {Upstreams, NameLimit}},
 }
 
 // Fault is one fault of a plan.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -336,6 +336,29 @@
 		Expect(obs.checkPauses()).To(BeEmpty(), "the daemon has forgotten the pause")
 	})
 
+	It("reports upstreams that get more requests than the limit that they named", func() {
+		obs.attempts, obs.runs = nil, nil
+		obs.limits = []namedLimits{{2, interval{at(10), at(20)}}}
+		send := func(id string, daemon int, t float64) {
+			a := request(platformtest.LookUp)
+			a.ID, a.daemon, a.status, a.ended = id, daemon, 200, at(t+0.05)
+			obs.attempts = append(obs.attempts, a)
+			obs.runs = append(obs.runs, run{id: id, upstream: 2, at: at(t)})
+		}
+		send("first", 1, 10.1)
+		for i := range 11 {
+			send(fmt.Sprint("a", i), 1, 13.1+0.3*float64(i))
+		}
+		for i := range 9 {
+			send(fmt.Sprint("b", i), 2, 13.2+0.04*float64(i))
+		}
+		Expect(obs.checkLimits()).To(BeEmpty(), "the second daemon had not heard of it")
+		send("b-last", 2, 14.5)
+		Expect(obs.checkLimits()).To(ConsistOf(ContainSubstring("got 12 requests in 4s")))
+		obs.faults.add(Daemons, 2, interval{at(13.9), at(14)})
+		Expect(obs.checkLimits()).To(BeEmpty(), "the daemon has forgotten it")
+	})
+
 	It("reports requests to upstreams that had said that they leave, also by a daemon without the store", func() {
 		obs.announcements = []drain{{upstream: 7, at: at(9), replacedAt: at(14)}}
 		heard, late := request(platformtest.Order), request(platformtest.Order)
