gateway: count upstreams that are left out once a choice

Callers saw nothing. While most upstreams name limits, each choice looked up a counter for each upstream that it left out, and each answer counted all limits for the gauge. Now the counters are looked up once for each reason, and the limits are counted when one changes. No change of what is counted.

Tests of gateway, placement, platform and telemetry pass with -race.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -24,7 +24,9 @@
 		case head.Sealed:
 			news = b.SaidNoLimit(in, sentAt, now)
 		}
-		limited = b.LimitedUpstreams()
+		if news != placement.LimitUnchanged {
+			limited = b.LimitedUpstreams()
+		}
 	})
 	if news == placement.LimitUnchanged {
 		return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -63,8 +63,8 @@
 }
 
 // countLeftOut counts the upstreams that a choice left out at their own request.
-func countLeftOut(reason placement.NoticeReason) {
-	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Inc()
+func countLeftOut(reason placement.NoticeReason, n int) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Add(n)
 }
 
 // These are the values of the metric label outcome of requests kept back by limits.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -121,11 +121,15 @@
 	if !g.tracker.HasNotices() {
 		return
 	}
+	count := map[placement.NoticeReason]int{}
 	for _, in := range candidates {
 		if reason, _ := g.tracker.Withheld(in, now); reason != placement.NoNotice {
-			countLeftOut(reason)
+			count[reason]++
 		}
 	}
+	for reason, n := range count {
+		countLeftOut(reason, n)
+	}
 }
 
 // answeredBy reports whether the answer to a control call may be that of the expected
