--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,7 +23,9 @@
 var (
 	answerSeconds  = histograms("gooseberryroad_gateway_answer_seconds")
 	firstEventTime = metrics.NewHistogram("gooseberryroad_gateway_first_event_seconds")
-	streamGapTime  = metrics.NewHistogram("gooseberryroad_gateway_stream_max_gap_seconds")
+	// limitedUpstreams is the number of upstreams that name a limit.
+	limitedUpstreams = metrics.NewGauge("gooseberryroad_gateway_limited_upstreams", nil)
+	streamGapTime    = metrics.NewHistogram("gooseberryroad_gateway_stream_max_gap_seconds")
 )
 
 func histograms(name string) map[routes.Kind]*metrics.Histogram {
@@ -61,8 +63,20 @@
 }
 
 // countLeftOut counts the upstreams that a choice left out at their own request.
-func countLeftOut(reason placement.NoticeReason) {
-	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Inc()
+func countLeftOut(reason placement.NoticeReason, n int) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Add(n)
+}
+
+// These are the values of the metric label outcome of requests kept back by limits.
+const (
+	keptBackSent    = "sent"
+	keptBackRefused = "refused"
+)
+
+// countKeptBack counts the requests that found no permit at any upstream: those sent after
+// a wait for one, and those refused.
+func countKeptBack(outcome string) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_kept_back_total{outcome="` + outcome + `"}`).Inc()
 }
 
 // countCutoverOutcome counts the outcomes of requests to a service that is being
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -13,18 +13,22 @@
 // for a pause. It is no failure of the upstream.
 var errPauseAsked = errors.New("upstream asked for a pause")
 
-// The codes of refusals while all upstreams of a service get no work at their own request.
+// The codes of refusals while all upstreams of a service get no work at their own request;
+// codeLimited while the soonest of them is one that names a limit.
 const (
 	codePaused  = "upstreams_paused"
 	codeLeaving = "upstreams_leaving"
+	codeLimited = "upstreams_limited"
 )
 
 // recordNotices records what an upstream says of itself in the head of an answer to the
-// request with the given ID. Another upstream at the address says nothing of this one.
-func (g *Gateway) recordNotices(in registry.Instance, head ResponseHead, id string) {
+// request with the given ID, which was sent at sentAt; sentAt is zero for a control call.
+// Another upstream at the address says nothing of this one.
+func (g *Gateway) recordNotices(in registry.Instance, head ResponseHead, id string, sentAt time.Time) {
 	if head.Misdirected {
 		return
 	}
+	g.recordLimit(in, head, id, sentAt)
 	if head.Leaving {
 		news := false
 		g.withTracker(func(b *placement.Tracker) { news = b.SaidLeaving(in) })
@@ -76,9 +80,9 @@
 }
 
 // allWithdrawn reports whether all upstreams that may serve a request get no work by
-// their own request, and when the first of them takes work again; the zero time if all of
-// them leave.
-func (g *Gateway) allWithdrawn(r *request, now time.Time) (soonest time.Time, all bool) {
+// their own request, and when the first of them takes work again and why not before; the
+// zero time if all of them leave.
+func (g *Gateway) allWithdrawn(r *request, now time.Time) (soonest time.Time, reason placement.NoticeReason, all bool) {
 	upstreams := g.o.Directory.View().Upstreams[r.service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -89,7 +93,7 @@
 // before giveUpAt at its own request, and the time after which one does; the code is empty
 // if the request should wait.
 func (g *Gateway) refuseIfAllWithdrawn(r *request, now, giveUpAt time.Time) (code string, retryAfter time.Duration) {
-	soonest, all := g.allWithdrawn(r, now)
+	soonest, reason, all := g.allWithdrawn(r, now)
 	switch {
 	case !all:
 		return "", 0
@@ -101,7 +105,14 @@
 	case soonest.Before(giveUpAt):
 		return "", 0
 	}
-	return codePaused, max(soonest.Sub(now), time.Millisecond)
+	wait := max(soonest.Sub(now), time.Millisecond)
+	if reason == placement.NoticeLimit {
+		countKeptBack(keptBackRefused)
+		// There is one permit at a time: clients that were refused together return spread
+		// over the time of the next ones.
+		return codeLimited, wait + time.Duration(g.randomFloat()*float64(wait))
+	}
+	return codePaused, wait
 }
 
 // countWithdrawn counts the candidates of a choice that are left out at their own request.
@@ -110,11 +121,15 @@
 	if !g.tracker.HasNotices() {
 		return
 	}
+	count := map[placement.NoticeReason]int{}
 	for _, in := range candidates {
-		if reason, _ := g.tracker.Notice(in, now); reason != placement.NoNotice {
-			countLeftOut(reason)
+		if reason, _ := g.tracker.Withheld(in, now); reason != placement.NoNotice {
+			count[reason]++
 		}
 	}
+	for reason, n := range count {
+		countLeftOut(reason, n)
+	}
 }
 
 // answeredBy reports whether the answer to a control call may be that of the expected
