--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,8 +81,8 @@
 }
 
 // Drain makes the gateway close each client connection after the response to the last
-// request that has arrived on it, admit only the requests that the plan allows, and answer those that still run before their
-// connections are cut. It is called once.
+// request that has arrived on it, admit only the requests that the plan allows, and answer
+// those that still run before their connections are cut. It is called once.
 func (g *Gateway) Drain(p drain.Plan) {
 	g.drainPlan.Store(&p)
 	time.AfterFunc(time.Until(p.AnswerBy()), g.endOfStop)
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -218,7 +218,7 @@
 }
 
 // CloseUnused closes the connections for which closes reports so, and returns the number of
-// those that were open. From its first call on the tracker counts the requests that are
+// those that were open before. From its first call on the tracker counts the requests that are
 // dropped with their connections.
 func (t *Tracker) CloseUnused(closes func(drain.Connection) bool) int {
 	t.mu.Lock()
