placement: a daemon's part of a limit survives a list of daemons that is lost for a moment

Cause: a list comes only when something has changed, and daemons counted for 10 s after the last one that named them.

Change: they count for 10 s after the list that names them was replaced. The test fails on the code before.

--- a/placement/limits.go
+++ b/placement/limits.go
@@ -25,8 +25,9 @@
 	self string
 	// epoch is when the first list of daemons came. Slots are counted from it.
 	epoch time.Time
-	// registeredAt is when each daemon was last registered.
+	// registeredAt is when each daemon was last registered, listed the last list of them.
 	registeredAt map[string]time.Time
+	listed       []string
 	// version counts the changes of the list.
 	version int
 }
@@ -53,7 +54,12 @@
 	}
 	changed := f.self != self
 	f.self = self
-	for _, name := range append([]string{self}, names...) {
+	// A list comes only when something has changed: until now the last one was in force.
+	for _, name := range f.listed {
+		f.registeredAt[name] = now
+	}
+	f.listed = append([]string{self}, names...)
+	for _, name := range f.listed {
 		if _, known := f.registeredAt[name]; !known {
 			changed = true
 		}
--- a/placement/limits_test.go
+++ b/placement/limits_test.go
@@ -195,6 +195,20 @@
 		Expect(takeAll(t, now.Add(time.Minute))).To(Equal(takeAll(alone, now.Add(time.Minute))))
 	})
 
+	// Guards against daemons that each take a whole limit, because the list of daemons was lost
+	// for a moment after a time in which it had not changed.
+	It("shares a limit among the daemons of the last list when that came long ago", func() {
+		sent := 0
+		for _, t := range fleetOf(9) {
+			at := now.Add(time.Minute)
+			t.SetDaemons(nil, "d0", at)
+			for ; at.Before(now.Add(time.Minute + 4*time.Second)); at = at.Add(10 * time.Millisecond) {
+				sent += takeAll(t, at)
+			}
+		}
+		Expect(sent).To(BeNumerically("<=", int(ratelimit.Allowed(limit))))
+	})
+
 	// Guards against streams that all go to the few engines without a limit in a large fleet,
 	// in which a daemon has permits for few of the others.
 	It("asks engines with a limit for their load by their share of all", func() {
