ratelimit: slots agree between daemons that hear slightly different limits

Change: slots follow the limit rounded down to a step of 1.12, and a change within a step does not count the own slot as unused.

--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -46,6 +46,9 @@
 	// slotShare is the part of the limit that the slots use. Fewer slots leave each of
 	// them more time, which helps daemons that seldom have a request.
 	slotShare = 0.75
+	// slotLimitStep is the ratio of two limits with different slots. Slots of daemons agree
+	// only if their limits do, and an upstream may name another one in each answer.
+	slotLimitStep = 1.12
 	// slotDeviations sets how many more requests than the mean an upstream may get in a
 	// window, in square roots of the mean: four standard deviations when the clocks of
 	// three tenths of the daemons are wrong.
@@ -125,7 +128,8 @@
 	// The mean number of requests in a span, for which mean + slotDeviations x root of the
 	// mean is what is allowed. The slots that may be used in a span began in it, or at most
 	// validity before it.
-	root := math.Sqrt(slotDeviations*slotDeviations/4+allowed) - slotDeviations/2
+	limit = math.Pow(slotLimitStep, math.Floor(math.Log(limit)/math.Log(slotLimitStep)))
+	root := math.Sqrt(slotDeviations*slotDeviations/4+Allowed(limit)) - slotDeviations/2
 	rate := slotShare * limit
 	l.slot = seconds(1 / rate)
 	l.validity = seconds((root*root-1)/rate) - span
@@ -140,8 +144,13 @@
 		return
 	}
 	wasSlotted, usedPermits := l.slot > 0, max(float64(l.due.Sub(now))/float64(l.interval), 0)
+	old := *l
 	l.limit, l.fleet = limit, f
 	l.plan()
+	if wasSlotted && l.slot == old.slot && f == old.fleet {
+		l.usedTurn = old.usedTurn
+		return
+	}
 	switch {
 	case !wasSlotted:
 		l.due = now.Add(seconds(min(usedPermits*l.interval.Seconds(), maxDue.Seconds())))
