gateway: permits are reserved only for requests that can use them, and given back if they are not

While limits bound, a request whose own time ended before the next permit reserved it, was held until its time was over and refused; the permit was lost. In a large fleet one such permit is worth minutes of an upstream's limit. A permit was also lost when the pause between tries or the retry budget stopped the request that had it.

Change: a request searches, and waits for a permit, no longer than until it could still be sent; otherwise it is refused at once. The pause and the budget come before the wait. A reservation that is not used is given back if no other came after it.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -50,6 +50,9 @@
 
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
+// lastSend is the time after which the request is not sent to an upstream any more.
+func (r *request) lastSend() time.Time { return r.deadline.Add(-minAttemptTime) }
+
 func (r *request) remoteBias() float64 {
 	if r.engine != nil {
 		return remoteEngineBias
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -91,7 +91,11 @@
 	g.mu.Lock()
 	in, at, ok := g.tracker.ReservePermit(g.adopted.Apply(g.ofVersion(r, upstreams)), now, giveUpAt)
 	g.mu.Unlock()
-	if !ok || !pause.For(ctx, at.Sub(now)) || g.withdrawn(in, time.Now()) || !g.registered(in) {
+	if !ok {
+		return registry.Instance{}, false
+	}
+	if !pause.For(ctx, at.Sub(now)) || g.withdrawn(in, time.Now()) || !g.registered(in) {
+		g.withTracker(func(b *placement.Tracker) { b.CancelPermit(in, at) })
 		return registry.Instance{}, false
 	}
 	countKeptBack(keptBackSent)
@@ -105,5 +109,9 @@
 func (g *Gateway) awaitPermitAt(ctx context.Context, in registry.Instance, limit time.Duration) bool {
 	now, at, ok := time.Now(), time.Time{}, false
 	g.withTracker(func(b *placement.Tracker) { at, ok = b.ReservePermitAt(in, now, now.Add(limit)) })
-	return ok && (!at.After(now) || pause.For(ctx, at.Sub(now)))
+	if ok && at.After(now) && !pause.For(ctx, at.Sub(now)) {
+		g.withTracker(func(b *placement.Tracker) { b.CancelPermit(in, at) })
+		return false
+	}
+	return ok
 }
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -77,10 +77,10 @@
 				return s.withCopyTarget(assignment{upstream: in}, ranked), true
 			}
 		}
-		giveUpAt := s.r.arrivedAt.Add(time.Duration(streamSearchShare * float64(s.r.route.TargetLatency)))
+		giveUpAt := earlier(s.r.arrivedAt.Add(time.Duration(streamSearchShare*float64(s.r.route.TargetLatency))), s.r.lastSend())
 		permitUntil := giveUpAt
 		if !s.lastEventAt.IsZero() {
-			permitUntil = s.lastEventAt.Add(maxContinueWait)
+			permitUntil = earlier(s.lastEventAt.Add(maxContinueWait), s.r.lastSend())
 		}
 		if s.g.permitExpected(s.r, permitUntil) {
 			if !s.awaitRetryBudget(ctx) {
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -137,14 +137,8 @@
 			return registry.Instance{}, false
 		}
 		ranked := t.g.rank(t.r, t.excluded)
-		hasPermit := false
-		if len(ranked) == 0 && t.runs == 0 {
-			var in registry.Instance
-			if in, hasPermit = t.g.awaitPermit(ctx, t.r, t.giveUpAt()); hasPermit {
-				ranked = []placement.Ranked{{Instance: in}}
-			}
-		}
-		if len(ranked) > 0 {
+		mayAwaitPermit := len(ranked) == 0 && t.runs == 0 && t.g.permitExpected(t.r, t.giveUpAt())
+		if len(ranked) > 0 || mayAwaitPermit {
 			if t.attemptTracker.TakePause() {
 				pause.For(ctx, initialRetryPause)
 				continue
@@ -156,13 +150,15 @@
 				}
 				t.attemptTracker.BudgetGranted()
 			}
-			if hasPermit {
-				return ranked[0].Instance, true
-			}
 			if in, ok := t.g.takeFirstPermit(ranked); ok {
 				return in, true
 			}
-			continue
+			if !mayAwaitPermit {
+				continue
+			}
+			if in, ok := t.g.awaitPermit(ctx, t.r, t.giveUpAt()); ok {
+				return in, true
+			}
 		}
 		if t.runs == 0 {
 			if t.stopReason, t.retryAfter = t.g.refuseIfAllWithdrawn(t.r, now.Add(t.pause), t.giveUpAt()); t.stopReason != "" {
@@ -181,7 +177,14 @@
 
 // giveUpAt is until when the request searches for an upstream while none takes it.
 func (t *upstreamSearch) giveUpAt() time.Time {
-	return t.r.arrivedAt.Add(time.Duration(searchShare * float64(t.r.route.TargetLatency)))
+	return earlier(t.r.arrivedAt.Add(time.Duration(searchShare*float64(t.r.route.TargetLatency))), t.r.lastSend())
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // timeout bounds one attempt. Only a request that may be repeated abandons an
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -242,6 +242,13 @@
 	return first, at, ok
 }
 
+// CancelPermit gives back a permit that was reserved for the given time and not used.
+func (t *Tracker) CancelPermit(in registry.Instance, at time.Time) {
+	if l := t.limitOf(in); l != nil && l.limiter != nil {
+		l.limiter.Cancel(at)
+	}
+}
+
 // SaidUnreadableLimit records an answer whose limit cannot be read. What was known of the
 // limit stays.
 func (t *Tracker) SaidUnreadableLimit(in registry.Instance) LimitNews {
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -95,6 +95,16 @@
 	changed bool
 	// lastUse is when the last permit is or will be used; zero if none was.
 	lastUse time.Time
+	// before is the state before the last permit was taken; nil once the limit or the fleet
+	// has changed since.
+	before *permitState
+}
+
+// permitState is what taking a permit changes.
+type permitState struct {
+	due, lastUse time.Time
+	usedTurn     int64
+	changed      bool
 }
 
 // New returns a limiter for a limit in requests a second. The slots are counted by the
@@ -145,7 +155,7 @@
 	}
 	wasSlotted, usedPermits := l.slot > 0, max(float64(l.due.Sub(now))/float64(l.interval), 0)
 	old := *l
-	l.limit, l.fleet = limit, f
+	l.limit, l.fleet, l.before = limit, f, nil
 	l.plan()
 	if wasSlotted && l.slot == old.slot && f == old.fleet {
 		l.usedTurn = old.usedTurn
@@ -193,8 +203,9 @@
 	if at.After(latest) {
 		return at, false
 	}
+	l.before = &permitState{l.due, l.lastUse, l.usedTurn, l.changed}
 	if l.changed && !at.Before(l.lastUse.Add(span)) {
-		// What was sent before is in no window with this request.
+		// What was sent before is older than a window.
 		l.due, l.changed = at, false
 	}
 	l.due = later(l.due, at).Add(l.interval)
@@ -205,6 +216,14 @@
 	return at, true
 }
 
+// Cancel gives back a permit that Reserve returned for the given time, and that was not
+// used, if no other was taken since.
+func (l *Limiter) Cancel(at time.Time) {
+	if b := l.before; b != nil && l.lastUse.Equal(at) {
+		l.due, l.lastUse, l.usedTurn, l.changed, l.before = b.due, b.lastUse, b.usedTurn, b.changed, nil
+	}
+}
+
 // turn returns the number of the own slot that began last before t.
 func (l *Limiter) turn(t time.Time) int64 {
 	since := l.epoch.UnixNano() + int64(t.Sub(l.epoch)) - int64(l.slot)*int64(l.fleet.Index)
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -260,6 +260,26 @@
 		})
 	})
 
+	// Guards against an upstream that gets nothing for minutes, because the clients for which
+	// its permits were reserved have left.
+	It("gives a permit again that was not used, if no other was taken since", func() {
+		forAll(func(limit float64, n int, what string) {
+			l := newFleet(limit, n)[0].limiter
+			first, ok := l.Reserve(start, start.Add(time.Hour))
+			Expect(ok).To(BeTrue())
+			second, ok := l.Reserve(start, start.Add(time.Hour))
+			Expect(ok).To(BeTrue())
+			if !first.Equal(second) { // else both are for the same moment
+				l.Cancel(first)
+				Expect(l.Next(start)).NotTo(Equal(second), what)
+			}
+			l.Cancel(second)
+			Expect(l.Next(start)).To(Equal(second), what)
+			l.Cancel(second)
+			Expect(l.Next(start)).To(Equal(second), what)
+		})
+	})
+
 	// Guards against an upstream that takes nothing, and of which no daemon learns that it
 	// takes requests again.
 	It("asks an upstream with a limit of zero again, seldom", func() {
