placement: a limit that is named again goes on from what was sent, however late

Ten seconds after a limit had ended it was forgotten, and when an engine of a large fleet named it again in answers to load queries, each daemon might send one request at once: 295 requests in 4 s where 17 are allowed, in the new test on the code before.

Change: a limit that ended is kept for the life of the upstream's process, a few words each.

--- a/placement/limits.go
+++ b/placement/limits.go
@@ -12,10 +12,6 @@
 // limit. An upstream may name another one in each answer.
 const limitLogInterval = time.Second
 
-// limitMemory is how long a limit is remembered after the upstream named none any more, so
-// that one that is named again at once goes on from what was sent before.
-const limitMemory = 10 * time.Second
-
 // daemonMemory is how long a daemon counts after it was last registered. One that is
 // restarted, or seen again, sends as much as before.
 const daemonMemory = 10 * time.Second
@@ -283,7 +279,8 @@
 }
 
 // dropLimits forgets the limits of upstreams that are no longer registered or have started
-// anew, and those that ended. known holds the start of each registered upstream.
+// anew. One that ended is kept: if the upstream names a limit again, this daemon goes on from
+// what it sent before. known holds the start of each registered upstream.
 func (t *Tracker) dropLimits(known map[string]int64, now time.Time) {
 	for id, l := range t.limits {
 		start, registered := known[id]
@@ -295,8 +292,7 @@
 		}
 		switch {
 		case registered && start != l.startUnixMilli,
-			!l.unregisteredAt.IsZero() && now.Sub(l.unregisteredAt) > leavingMemory,
-			!l.endedAt.IsZero() && now.Sub(l.endedAt) > limitMemory:
+			!l.unregisteredAt.IsZero() && now.Sub(l.unregisteredAt) > leavingMemory:
 			delete(t.limits, id)
 		}
 	}
--- a/placement/limits_test.go
+++ b/placement/limits_test.go
@@ -184,6 +184,24 @@
 		Expect(t.TakePermit(restarted, now)).To(BeTrue(), "it named no limit")
 	})
 
+	// Guards against a fleet in which each daemon sends a request at once whenever an engine
+	// names its limit anew.
+	It("permits one stream outside the slots in the life of an engine, not with each limit that it names", func() {
+		engine := registry.Instance{ID: "e0", Service: "llm"}
+		later := 0
+		for _, t := range fleetOf(295) {
+			t.SaidLimit(engine, limit, true, now)
+			Expect(t.TakePermit(engine, now.Add(10*time.Millisecond))).To(BeTrue())
+			t.SaidNoLimit(engine, now.Add(time.Second), now.Add(time.Second))
+			t.DropNotices([]registry.Instance{engine}, now.Add(20*time.Second))
+			t.SaidLimit(engine, limit, true, now.Add(21*time.Second))
+			for t.TakePermit(engine, now.Add(21*time.Second+10*time.Millisecond)) {
+				later++
+			}
+		}
+		Expect(later).To(BeNumerically("<=", int(ratelimit.Allowed(limit))))
+	})
+
 	// Guards against larger parts for the others while a daemon is restarted, which then
 	// sends as well.
 	It("counts a daemon that was registered a moment ago", func() {
