gateway: a client that found no permit is told to come back within four seconds

Found by the review. Retry-After was the time of this daemon's next permit: 393 s with 295 daemons and a limit of one a second, although another daemon has a permit within seconds. Clients waited for all of the time that they had.

Change: it is at most 2 s, spread up to twice as long.

--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -21,6 +21,11 @@
 	codeLimited = "upstreams_limited"
 )
 
+// maxLimitRetryAfter bounds the time after which a client comes again that found no permit at
+// this daemon. In a large fleet the daemon's next permit may be minutes away, while another
+// daemon has one soon.
+const maxLimitRetryAfter = 2 * time.Second
+
 // recordNotices records what an upstream says of itself in the head of an answer to the
 // request with the given ID, which was sent at sentAt; sentAt is zero for a control call.
 // Another upstream at the address says nothing of this one.
@@ -108,6 +113,8 @@
 	wait := max(soonest.Sub(now), time.Millisecond)
 	if reason == placement.NoticeLimit {
 		countKeptBack(keptBackRefused)
+		// Other daemons have permits at other times.
+		wait = min(wait, maxLimitRetryAfter)
 		// There is one permit at a time: clients that were refused together return spread
 		// over the time of the next ones.
 		return codeLimited, wait + time.Duration(g.randomFloat()*float64(wait))
