--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -72,16 +72,15 @@
 	return g.tracker.LimitedShare(g.adopted.Apply(g.ofVersion(r, upstreams)))
 }
 
-// permitExpected reports whether no upstream takes a request now at its own wish, and one
-// that names a limit is the first to take one, before giveUpAt.
+// permitExpected reports whether all upstreams of a request withhold work now, and the first
+// one that accepts some again, before giveUpAt, is one that names a limit.
 func (g *Gateway) permitExpected(r *request, giveUpAt time.Time) bool {
 	soonest, reason, all := g.allWithdrawn(r, time.Now())
 	return all && reason == placement.NoticeLimit && soonest.Before(giveUpAt)
 }
 
-// awaitPermit reserves the next permit while no upstream takes the request at its own
-// wish, and waits until it can be used, at latest until giveUpAt. Requests that wait have
-// permits of their own.
+// awaitPermit reserves the next permit while all upstreams withhold work, and waits until it
+// can be used, at latest until giveUpAt. Each waiting request has a permit of its own.
 func (g *Gateway) awaitPermit(ctx context.Context, r *request, giveUpAt time.Time) (registry.Instance, bool) {
 	if !g.permitExpected(r, giveUpAt) {
 		return registry.Instance{}, false
