soak: upstreams take over the listener with which their port was found

Cause: the soak looked for a free port by listening and closing, and listened again at once.

Change: an upstream serves the listener with which its port was found.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -217,9 +217,19 @@
 // Close frees the block.
 func (p *Ports) Close() error { return eris.Wrap(p.guard.Close(), "free a block of ports") }
 
-// address returns the next HOST:PORT that can be listened on. After the last one of the
-// block it goes on with the first.
+// address returns the next HOST:PORT that can be listened on.
 func (p *Ports) address() (string, error) {
+	l, err := p.listen()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), eris.Wrap(l.Close(), "close the listener of a free port")
+}
+
+// listen listens at the next free port. After the last one of the block it goes on with the
+// first. A port on which a listener was closed a moment ago may still be in use: a process
+// that is being started holds the listeners of this one until it runs its program.
+func (p *Ports) listen() (net.Listener, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for range blockSize {
@@ -227,11 +237,9 @@
 		if p.next++; p.next == p.first+blockSize {
 			p.next = p.first + 1
 		}
-		l, err := net.Listen("tcp4", a)
-		if err != nil {
-			continue // in use
+		if l, err := net.Listen("tcp4", a); err == nil {
+			return l, nil
 		}
-		return a, eris.Wrap(l.Close(), "close the listener of a free port")
 	}
-	return "", eris.New("no free port for a daemon")
+	return nil, eris.New("no free port for a daemon or an upstream")
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -275,14 +275,11 @@
 // again after a crash.
 func newUpstream(p *Ports, number int, service string) (*upstream, error) {
 	u := &upstream{number: number, zone: dataCentres[number%len(dataCentres)], service: service}
-	address, err := p.address()
-	if err != nil {
-		return nil, err
-	}
-	r, err := platformtest.NewReplicaAt(u.id(), address)
+	l, err := p.listen()
 	if err != nil {
 		return nil, err
 	}
+	r := platformtest.NewReplicaOn(u.id(), l)
 	u.Replica = r
 	r.Set(func(b *platformtest.Behaviour) {
 		b.Events, b.Pause, b.EventText, b.Model, b.Slots = streamEvents, eventInterval, eventText, "m", engineSlots
