routes, platform: decode priorities, scaling, duties, prompt tokens and a fourth load figure

Cause: the priority of routes and accounts was decoded nowhere, a load report with four figures was dropped as a whole, and settings for duties were ignored. The decoded values are not used yet, so deployments are served as before. A priority is ignored by placement until a service has requests of several priorities (routes.Table.RanksRequests). The store's client gets transactions on several keys, reads of one key and lease renewal; its stand-in keeps leases.

--- a/edge/settings.go
+++ b/edge/settings.go
@@ -44,6 +44,45 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Duties are the duties that one daemon of the deployment has at a time.
+	Duties DutySettings
+}
+
+// DutySettings describe the calls to the deployment's control service that are the duty of
+// one daemon at a time. The zero value is a deployment without duties.
+type DutySettings struct {
+	// ControlAddress is the address of the control service as HOST:PORT.
+	ControlAddress string
+	// Usage says that the usage of each window has to be reported, Scaling that numbers of
+	// upstreams can be ordered.
+	Usage, Scaling bool
+	// CallsPerSecond is how many calls the control service takes from all daemons together;
+	// 0 is unknown.
+	CallsPerSecond float64
+	// Lease is the time within which no two daemons may act by turns for the same subject.
+	Lease time.Duration
+	// Window is the length of a window of usage, and ReportDue the time after its end at
+	// which its report is due. Tolerance is the relative error that a report may have.
+	Window, ReportDue time.Duration
+	Tolerance         float64
+}
+
+// Any reports whether the deployment has duties.
+func (d DutySettings) Any() bool { return d.Usage || d.Scaling }
+
+// check returns an error if the daemon cannot perform the duties.
+func (d DutySettings) check() error {
+	switch {
+	case !d.Any():
+		return nil
+	case d.Lease <= 0:
+		return eris.New("settings: duties need a lease")
+	case d.Usage && (d.Window <= 0 || d.ReportDue <= 0):
+		return eris.New("settings: usage reports need the length of a window and the time at which a report is due")
+	case d.CallsPerSecond < 0 || d.Tolerance < 0:
+		return eris.New("settings: rates and tolerances cannot be negative")
+	}
+	return nil
 }
 
 // budget returns the options of the fleet's retry budget.
@@ -64,5 +103,5 @@
 		s.MaxRevocationTime < 0 || s.MaxDrainTime < 0:
 		return eris.New("settings: times and ratios cannot be negative")
 	}
-	return nil
+	return s.Duties.check()
 }
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -31,6 +31,11 @@
 	// SharedPartIDs identify the other parts of the prompt, which other requests may
 	// have too, in their order.
 	SharedPartIDs []string
+	// PartTokens holds the tokens of the parts in SharedPartIDs and then those of
+	// PromptPartID; PromptTokens and MaxOutputTokens are those of the whole prompt and the
+	// largest number that may be generated. 0 is unknown.
+	PartTokens                    []int
+	PromptTokens, MaxOutputTokens int
 	// Header holds the fields that are forwarded, without those that the gateway
 	// sets itself.
 	Header http.Header
@@ -49,6 +54,9 @@
 	TimeLeft time.Duration
 	// LastEventID is the ID of the last event that the client has; 0 is none.
 	LastEventID int64
+	// Priority is what the upstream is told of the request's priority, from 0, the most
+	// urgent, to 9; nil tells it nothing.
+	Priority *int
 	// CopyTo is the address of the upstream that receives a copy of the run's KV
 	// cache as it grows; empty for no copy.
 	CopyTo string
@@ -105,6 +113,18 @@
 	StartedMs int64
 	// Models are the names of the models that the engine serves.
 	Models []string
+	// Runs are the runs that the engine lists.
+	Runs []EngineRun
+}
+
+// EngineRun is a run that an engine lists in its report.
+type EngineRun struct {
+	// Tokens is the number of its tokens in the KV cache, Events that of the events
+	// generated so far: a run without any is still reading its prompt.
+	Tokens int
+	Events int64
+	// Priority is 0 for the most urgent runs.
+	Priority int
 }
 
 // Protocol translates between the types of this package and the wire format of
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -84,6 +84,9 @@
 	Waiting int
 	// Slots is the number of requests that run at once; 0 is unknown.
 	Slots int
+	// Pace is how long work takes on the upstream's VM at this moment, in percent of the
+	// usual time; 0 if the upstream does not report it. It changes many times a second.
+	Pace int
 }
 
 type upstreamState struct {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -58,6 +58,8 @@
 	// Resumable streams may continue at another upstream after the last event that
 	// the caller has received.
 	Resumable bool
+	// Priority is the rank of the route's requests, from 0, the most urgent, to 9.
+	Priority int
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -92,6 +94,16 @@
 	HealthPath string
 	// Engine is set if the upstreams are model engines.
 	Engine *Engine
+	// Scaling is set if the number of upstreams can be ordered.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of upstreams of a service that can be ordered in each data
+// centre.
+type Scaling struct {
+	Min, Max int
+	// StartTime is how long a new upstream takes until it serves.
+	StartTime time.Duration
 }
 
 // Engine describes what the model engines of a service can do.
@@ -107,6 +119,9 @@
 type Account struct {
 	Name string
 	Keys []string
+	// Priority ranks the account's requests in place of the route's priority; nil if the
+	// account has none.
+	Priority *int
 }
 
 // Config is one version of the operators' configuration.
@@ -128,19 +143,25 @@
 	services         map[string]*Service
 	accountByKey     map[string]string
 	accountsRequired bool
+	// accountPriorities holds the priorities of the accounts that have one.
+	accountPriorities map[string]int
+	// ranked holds the services for which requests can differ in priority.
+	ranked map[string]bool
 }
 
 // NewTable returns the table of a configuration. It keeps pointers into the
 // slices of c.
 func NewTable(c Config) *Table {
 	t := &Table{
-		version:          c.Version,
-		maxBodyBytes:     c.MaxBodyBytes,
-		byHost:           map[string]map[string]*Route{},
-		routesByName:     map[string]*Route{},
-		services:         map[string]*Service{},
-		accountByKey:     map[string]string{},
-		accountsRequired: len(c.Accounts) > 0,
+		version:           c.Version,
+		maxBodyBytes:      c.MaxBodyBytes,
+		byHost:            map[string]map[string]*Route{},
+		routesByName:      map[string]*Route{},
+		services:          map[string]*Service{},
+		accountByKey:      map[string]string{},
+		accountsRequired:  len(c.Accounts) > 0,
+		accountPriorities: map[string]int{},
+		ranked:            rankedServices(c),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -155,6 +176,9 @@
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
 	for _, a := range c.Accounts {
+		if a.Priority != nil {
+			t.accountPriorities[a.Name] = *a.Priority
+		}
 		for _, k := range a.Keys {
 			t.accountByKey[k] = a.Name
 		}
--- a/store/watch.go
+++ b/store/watch.go
@@ -44,6 +44,44 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
 }
 
+// Condition is the revision that a key must have for a transaction to take effect.
+type Condition struct {
+	Key string
+	// Index is 0 if the key must not exist.
+	Index uint64
+}
+
+// LeasedEntry is a key that a transaction writes.
+type LeasedEntry struct {
+	Key   string
+	Value []byte
+	// Lease is the lease with which the key ends; 0 is none.
+	Lease uint64
+}
+
+// Transaction writes and removes keys if all conditions hold, or does nothing.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []LeasedEntry
+	Remove     []string
+}
+
+// Transactor writes under conditions on several keys and keeps leases.
+type Transactor interface {
+	// Commit applies a transaction. It returns the store's revision, ErrConflict when a
+	// condition does not hold, ErrLeaseExpired when a lease has expired, and ErrUnknown
+	// when the transaction may have taken effect, or may yet.
+	Commit(ctx context.Context, t Transaction) (revision uint64, err error)
+	// Read returns an entry as it is now; found is false if there is none.
+	Read(ctx context.Context, key string) (e Entry, found bool, err error)
+	// Grant creates a lease that expires after ttl.
+	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	// KeepAlive renews a lease for its whole time, or returns ErrLeaseExpired.
+	KeepAlive(ctx context.Context, lease uint64) error
+	// Revoke ends a lease; its keys are removed.
+	Revoke(ctx context.Context, lease uint64) error
+}
+
 // Leaser writes keys that the store deletes when their lease expires, so that they
 // are deleted when their writer stops.
 type Leaser interface {
