routes: order requests by account and route

The account still goes first; the route decides among equal accounts. A service counts as ranked only by its routes, because accounts have priorities in deployments that are to be served as before.

--- a/routes/priority.go
+++ b/routes/priority.go
@@ -1,53 +1,77 @@
 package routes
 
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
 // MaxPriority is the priority of the least urgent requests; 0 is the most urgent.
 const MaxPriority = 9
 
 // DefaultPriority is the priority of routes for which the configuration states none.
 const DefaultPriority = 5
 
-// Priority returns the priority of a request of a route: that of its client account, if
-// the account has one, or else that of the route. account is empty if there is none.
+// rank orders the requests of a configuration: the priority of the client account comes
+// first, and that of the route decides among accounts of equal priority. Without it the
+// priorities of routes would have no effect where all accounts have one.
+type rank struct{ account, route int }
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.route, b.route))
+}
+
+// rankOf returns the rank of a request of a route. An account without a priority, or none,
+// has that of the route.
+func (t *Table) rankOf(r *Route, account string) rank {
+	p, ok := t.accountPriorities[account]
+	if !ok {
+		p = r.Priority
+	}
+	return rank{account: p, route: r.Priority}
+}
+
+// Priority returns the position of a request of a route among the ranks that requests for
+// the same services can have, from 0, the most urgent, to MaxPriority.
 func (t *Table) Priority(r *Route, account string) int {
-	if p, ok := t.accountPriorities[account]; ok {
-		return p
+	own, position := t.rankOf(r, account), 0
+	for _, s := range r.Shares {
+		p, _ := slices.BinarySearchFunc(t.ranks[s.Service], own, rank.compare)
+		position = max(position, p)
 	}
-	return r.Priority
+	return min(position, MaxPriority)
 }
 
-// RanksRequests reports whether requests for a service can differ in priority.
+// RanksRequests reports whether the routes to a service differ in priority.
 func (t *Table) RanksRequests(service string) bool { return t.ranked[service] }
 
-// rankedServices returns the services for which requests can differ in priority.
-func rankedServices(c Config) map[string]bool {
-	accountPriorities, allHavePriority := map[int]bool{}, len(c.Accounts) > 0
-	for _, a := range c.Accounts {
-		if a.Priority == nil {
-			allHavePriority = false
-			continue
-		}
-		accountPriorities[*a.Priority] = true
+// setRanks determines the ranks that the requests for each service can have, and the
+// services whose routes differ in priority.
+func (t *Table) setRanks(c Config) {
+	accountPriorities := map[int]bool{}
+	for _, p := range t.accountPriorities {
+		accountPriorities[p] = true
 	}
-	priorities := map[string]map[int]bool{}
-	for _, r := range c.Routes {
+	seen := map[string]map[rank]bool{}
+	first := map[string]int{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
 		for _, s := range r.Shares {
 			if s.Weight <= 0 {
 				continue
 			}
-			if priorities[s.Service] == nil {
-				priorities[s.Service] = map[int]bool{}
+			if seen[s.Service] == nil {
+				seen[s.Service] = map[rank]bool{}
+				first[s.Service] = r.Priority
 			}
+			seen[s.Service][rank{r.Priority, r.Priority}] = true
 			for p := range accountPriorities {
-				priorities[s.Service][p] = true
-			}
-			if r.Anonymous || !allHavePriority {
-				priorities[s.Service][r.Priority] = true
+				seen[s.Service][rank{p, r.Priority}] = true
 			}
+			t.ranked[s.Service] = t.ranked[s.Service] || r.Priority != first[s.Service]
 		}
 	}
-	ranked := map[string]bool{}
-	for service, p := range priorities {
-		ranked[service] = len(p) > 1
+	for service, ranks := range seen {
+		t.ranks[service] = slices.SortedFunc(maps.Keys(ranks), rank.compare)
 	}
-	return ranked
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -145,7 +145,9 @@
 	accountsRequired bool
 	// accountPriorities holds the priorities of the accounts that have one.
 	accountPriorities map[string]int
-	// ranked holds the services for which requests can differ in priority.
+	// ranks holds the ranks that requests for each service can have, the most urgent first;
+	// ranked the services whose routes differ in priority.
+	ranks  map[string][]rank
 	ranked map[string]bool
 }
 
@@ -161,7 +163,8 @@
 		accountByKey:      map[string]string{},
 		accountsRequired:  len(c.Accounts) > 0,
 		accountPriorities: map[string]int{},
-		ranked:            rankedServices(c),
+		ranks:             map[string][]rank{},
+		ranked:            map[string]bool{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -183,6 +186,7 @@
 			t.accountByKey[k] = a.Name
 		}
 	}
+	t.setRanks(c)
 	return t
 }
 
