--- a/routes/priority.go
+++ b/routes/priority.go
@@ -42,11 +42,16 @@
 	return min(position, MaxPriority)
 }
 
-// RanksRequests reports whether the routes to a service differ in priority.
+// RanksRequests reports whether the routes to a service of engines differ in priority, which
+// engines can be told.
 func (t *Table) RanksRequests(service string) bool { return t.ranked[service] }
 
+// RanksStreams reports whether RanksRequests is true for any service: the operators of the
+// deployment then say who is to be served first when there is not room for all.
+func (t *Table) RanksStreams() bool { return len(t.ranked) > 0 }
+
 // setRanks determines the ranks that the requests for each service can have, and the
-// services whose routes differ in priority.
+// services of engines whose routes differ in priority.
 func (t *Table) setRanks(c Config) {
 	accountPriorities := map[int]bool{}
 	for _, p := range t.accountPriorities {
@@ -68,7 +73,9 @@
 			for p := range accountPriorities {
 				seen[s.Service][rank{p, r.Priority}] = true
 			}
-			t.ranked[s.Service] = t.ranked[s.Service] || r.Priority != first[s.Service]
+			if service := t.services[s.Service]; service != nil && service.Engine != nil && r.Priority != first[s.Service] {
+				t.ranked[s.Service] = true
+			}
 		}
 	}
 	for service, ranks := range seen {
--- a/routes/priority_test.go
+++ b/routes/priority_test.go
@@ -18,10 +18,25 @@
 	// A service whose requests all have the same priority must be served as if there were
 	// no priorities.
 	It("differs only within a service that has requests of several priorities", func() {
-		t := routes.NewTable(routes.Config{Routes: []routes.Route{to("a", 0, "engines"), to("b", 2, "engines"), to("c", 2, "orders"), to("d", 2, "orders")}})
+		t := routes.NewTable(routes.Config{
+			Routes:   []routes.Route{to("a", 0, "engines"), to("b", 2, "engines"), to("c", 2, "others"), to("d", 2, "others")},
+			Services: []routes.Service{{Name: "engines", Engine: &routes.Engine{}}, {Name: "others", Engine: &routes.Engine{}}},
+		})
 		Expect(t.RanksRequests("engines")).To(BeTrue())
-		Expect(t.RanksRequests("orders")).To(BeFalse())
+		Expect(t.RanksRequests("others")).To(BeFalse())
 		Expect(t.RanksRequests("unknown")).To(BeFalse())
+		Expect(t.RanksStreams()).To(BeTrue())
+	})
+
+	// Routes that are configured and not used have the most urgent priority where the operators
+	// state none, so a difference between routes of a plain service says nothing.
+	It("differs only for services of engines", func() {
+		t := routes.NewTable(routes.Config{
+			Routes:   []routes.Route{to("unused", 0, "orders"), to("order", 2, "orders")},
+			Services: []routes.Service{{Name: "orders"}},
+		})
+		Expect(t.RanksRequests("orders")).To(BeFalse())
+		Expect(t.RanksStreams()).To(BeFalse())
 	})
 
 	// Where all accounts have a priority, those of the routes must still order requests, and a
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -146,7 +146,7 @@
 	// accountPriorities holds the priorities of the accounts that have one.
 	accountPriorities map[string]int
 	// ranks holds the ranks that requests for each service can have, the most urgent first;
-	// ranked the services whose routes differ in priority.
+	// ranked the services of engines whose routes differ in priority.
 	ranks  map[string][]rank
 	ranked map[string]bool
 }
