duty, usage, edge: usage of each window is reported by one daemon at a time

Cause: deployments whose settings name duties expect one report of the requests of each window from exactly one daemon; nothing sent it. The gateway reports once for each request of an account that an upstream began it. Deployments without duties make no additional call.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -78,9 +78,12 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(stop)
 	defer signal.Stop(reload)
-	d, err := edge.New(edge.Options{
-		Settings: s, Store: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger,
-	})
+	kvStore := platform.NewStore(s.StoreAddress)
+	o := edge.Options{Settings: s, Store: kvStore, Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger}
+	if s.Duties.Any() {
+		o.DutyStore, o.Cloud = kvStore, platform.NewCloud(s.Duties.ControlAddress)
+	}
+	d, err := edge.New(o)
 	if err != nil {
 		return err
 	}
--- a/directory/state.go
+++ b/directory/state.go
@@ -51,6 +51,10 @@
 // prompts crashed upstreams: PartPrefix + daemon.
 const PartPrefix = "gooseberryroad/parts/"
 
+// DutyPrefix is the prefix of the keys of duties: who holds each one, and what its holder has
+// decided.
+const DutyPrefix = "gooseberryroad/duties/"
+
 // maxRecentChanges is the number of changes kept for daemons that follow this
 // one; up to twice as many are kept before the oldest are dropped. A daemon that
 // is further behind gets a snapshot.
@@ -84,8 +88,11 @@
 	// PartReports holds what daemons published of prompt parts that crash upstreams, by
 	// the daemon's name.
 	PartReports map[string]PartReport
-	// Peers holds the names of the registered daemons.
-	Peers []string
+	// Peers holds the names of the registered daemons, PeerList the daemons themselves.
+	Peers    []string
+	PeerList []sources.Peer
+	// Duties holds the entries below DutyPrefix, by key.
+	Duties map[string]store.Entry
 	// Daemons is the number of registered daemons, this one included; at least 1.
 	Daemons int
 	// Revision is the store's revision at which the view was made.
@@ -150,7 +157,9 @@
 	crashes map[string]map[quarantine.Hash]int
 	// partReports holds the reports on prompt parts, by the daemon's name.
 	partReports map[string]PartReport
-	dirty       bool
+	// duties holds the entries of duties, by key.
+	duties map[string]store.Entry
+	dirty  bool
 }
 
 func newState(d Decoder, log *slog.Logger) *state {
@@ -160,6 +169,7 @@
 		orders: map[string]cutover.Order{}, statuses: map[string]cutover.Status{}, evidence: map[string]map[string]cutover.Evidence{},
 		rejected: map[string]cutover.Rejected{},
 		crashes:  map[string]map[quarantine.Hash]int{}, partReports: map[string]PartReport{},
+		duties: map[string]store.Entry{},
 	}
 }
 
@@ -224,6 +234,7 @@
 	case s.putRejected(e):
 	case s.putCrashes(e):
 	case s.putPartReport(e, now):
+	case s.putDuty(e):
 	default:
 		return
 	}
@@ -310,6 +321,16 @@
 	return true
 }
 
+// putDuty stores an entry of a duty. Entries are decoded by those who perform duties.
+func (s *state) putDuty(e store.Entry) bool {
+	if !strings.HasPrefix(e.Key, DutyPrefix) {
+		return false
+	}
+	s.duties[e.Key] = e
+	s.dirty = true
+	return true
+}
+
 // putCutover stores orders to move a service, their status and the daemons'
 // evidence.
 func (s *state) putCutover(e store.Entry) bool {
@@ -400,6 +421,11 @@
 		s.dirty = true
 		return
 	}
+	if strings.HasPrefix(key, DutyPrefix) {
+		delete(s.duties, key)
+		s.dirty = true
+		return
+	}
 	s.removeCutover(e)
 	if in, ok, _ := s.decoder.Instance(e); ok {
 		if afterOutage {
@@ -474,8 +500,10 @@
 	for service, o := range s.orders {
 		v.Cutovers[service] = Cutover{Order: o, Status: s.statuses[service], Evidence: maps.Clone(s.evidence[service])}
 	}
+	v.Duties = maps.Clone(s.duties)
 	for _, p := range s.peers {
 		v.Peers = append(v.Peers, p.Name)
+		v.PeerList = append(v.PeerList, p)
 	}
 	for _, in := range v.All {
 		if !in.Draining {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/failover"
 	"github.com/gooseberryroad/gooseberryroad/gateway"
+	"github.com/gooseberryroad/gooseberryroad/internal/bootclock"
 	"github.com/gooseberryroad/gooseberryroad/internal/clientconn"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/relay"
@@ -58,15 +59,22 @@
 	Decoder  directory.Decoder
 	Protocol gateway.Protocol
 	Logger   *slog.Logger
+	// DutyStore and Cloud are needed if the settings have duties. Planner decides the
+	// numbers of replicas; without one, none are ordered.
+	DutyStore DutyStore
+	Cloud     Cloud
+	Planner   Planner
 }
 
 // Edge is one gateway process.
 type Edge struct {
-	o           Options
-	app         *fx.App
-	follower    *directory.Follower
-	gateway     *gateway.Gateway
-	pool        *upstream.Pool
+	o        Options
+	app      *fx.App
+	follower *directory.Follower
+	gateway  *gateway.Gateway
+	pool     *upstream.Pool
+	// duties is nil if the deployment has none.
+	duties      *duties
 	clients     *http.Server
 	connections *clientconn.Tracker
 	// accepted is closed when no more connections of clients are accepted.
@@ -86,8 +94,8 @@
 	e.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(o),
-		fx.Provide(newPool, newFollower, newGateway),
-		fx.Populate(&e.pool, &e.follower, &e.gateway),
+		fx.Provide(newPool, newFollower, newEdgeDuties, newGateway),
+		fx.Populate(&e.pool, &e.follower, &e.duties, &e.gateway),
 		fx.Invoke(func(lc fx.Lifecycle) {
 			lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
 		}),
@@ -108,9 +116,34 @@
 	})
 }
 
-func newGateway(o Options, f *directory.Follower, p *upstream.Pool) *gateway.Gateway {
+// newEdgeDuties returns nil if the deployment has no duties.
+func newEdgeDuties(o Options, f *directory.Follower) (*duties, error) {
+	if !o.Settings.Duties.Any() {
+		return nil, nil
+	}
+	if o.DutyStore == nil || o.Cloud == nil {
+		return nil, eris.New("duties need a store with transactions and a control service")
+	}
+	return newDuties(dutyOptions{
+		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, Planner: o.Planner, View: f.View, Era: func() uint64 { return storeEra(f) },
+		Send:      relay.NewClient(telemetry.WithPart(o.Logger, "relay")).SendUsage,
+		SinceBoot: bootclock.Now, TimeOfDay: time.Now, Logger: telemetry.WithPart(o.Logger, "duty"),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}), nil
+}
+
+// storeEra returns the era of the store's content. The store's client does not tell it yet,
+// so that all content is of the first era.
+func storeEra(*directory.Follower) uint64 { return 0 }
+
+func newGateway(o Options, f *directory.Follower, p *upstream.Pool, d *duties) *gateway.Gateway {
+	var onBegan func(string, time.Time)
+	if o.Settings.Duties.Usage {
+		onBegan = d.Began
+	}
 	g := gateway.New(gateway.Options{
-		Name: o.Settings.Name, Directory: f, Protocol: o.Protocol, Pool: p, Logger: telemetry.WithPart(o.Logger, "gateway"),
+		OnBegan: onBegan,
+		Name:    o.Settings.Name, Directory: f, Protocol: o.Protocol, Pool: p, Logger: telemetry.WithPart(o.Logger, "gateway"),
 		DataCentre:       o.Settings.DataCentre,
 		Rand:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Failover:         failover.DefaultOptions(),
@@ -162,7 +195,7 @@
 	}{
 		{s.ClientAddress, e.clients},
 		{s.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTimeout}},
-		{s.RelayAddress, &http.Server{Handler: relay.Handler(e.follower.Content, telemetry.WithPart(e.o.Logger, "relay")), ReadHeaderTimeout: headerTimeout}},
+		{s.RelayAddress, &http.Server{Handler: e.relayHandler(), ReadHeaderTimeout: headerTimeout}},
 		{e.metricsAddress(), &http.Server{Handler: http.HandlerFunc(serveMetrics), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, v := range servers {
@@ -186,11 +219,27 @@
 	go e.follower.Run(runCtx)
 	go e.sweep(runCtx)
 	go e.publish(runCtx)
+	if e.duties != nil {
+		go e.duties.run(runCtx)
+	}
 	s.logBrokenPromises(telemetry.WithPart(e.o.Logger, "edge"))
 	e.o.Logger.Info("daemon started", "part", "edge", "name", s.Name, "data_centre", s.DataCentre, "clients", e.ClientAddress())
 	return nil
 }
 
+// relayHandler serves the calls of other daemons.
+func (e *Edge) relayHandler() http.Handler {
+	log := telemetry.WithPart(e.o.Logger, "relay")
+	content := relay.Handler(e.follower.Content, log)
+	if !e.o.Settings.Duties.Usage {
+		return content
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", content)
+	mux.Handle(relay.UsagePath, relay.UsageHandler(e.duties.Merge, log))
+	return mux
+}
+
 func (e *Edge) metricsAddress() string {
 	if e.o.Settings.MetricsPort == 0 {
 		return ""
@@ -239,12 +288,23 @@
 	log.Info("stopping", "grace", plan.Grace)
 	e.stopping.Store(true)
 	e.gateway.Drain(plan)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		if e.duties != nil {
+			e.duties.stop(ctx)
+		}
+	}()
 	closes := func(c drain.Connection) bool { return plan.ClosesConnection(c, time.Now()) }
 	for ctx.Err() == nil && !plan.ShouldClose(e.gateway.RunningStreams(), time.Now()) {
 		e.connections.CloseUnused(closes)
 		pause.For(ctx, drainPollInterval)
 	}
 	err := e.closeConnections(ctx, plan, closes)
+	<-released
+	if e.duties != nil {
+		e.duties.sendLastCounts(ctx, plan)
+	}
 	e.cancel()
 	for _, l := range e.listeners {
 		// The client listener is closed already.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -103,5 +103,8 @@
 		s.MaxRevocationTime < 0 || s.MaxDrainTime < 0:
 		return eris.New("settings: times and ratios cannot be negative")
 	}
+	if s.Duties.Any() && s.RelayAddress == "" {
+		return eris.New("settings: duties need the address for other daemons")
+	}
 	return s.Duties.check()
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -46,6 +46,8 @@
 	// useTargetVersion says that the request goes to the version to which its
 	// service is being moved.
 	useTargetVersion bool
+	// reported says that Options.OnBegan was called for the request.
+	reported bool
 }
 
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
@@ -107,6 +109,15 @@
 	g.serveBuffered(ctx, w, r)
 }
 
+// reportBegan reports that an upstream began a request of a client account.
+func (g *Gateway) reportBegan(r *request, at time.Time) {
+	if g.o.OnBegan == nil || r.account == "" || r.reported {
+		return
+	}
+	r.reported = true
+	g.o.OnBegan(r.account, at)
+}
+
 // startHoldShare is the part of a client's timeout for which a daemon that has just
 // started holds a request until it knows the configuration. After the loss of all
 // daemons that takes about a second, and a client that is refused by two starting
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -69,4 +69,8 @@
 	// MaxHeldBodyBytes bounds the total size of the request bodies that are held at
 	// once; 0 is no limit.
 	MaxHeldBodyBytes int64
+	// OnBegan, if it is set, is called once for each request of a client account that an
+	// upstream began: for a stream at its first event, for another request with the time at
+	// which it was sent to the upstream that answered.
+	OnBegan func(account string, at time.Time)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -238,6 +238,7 @@
 			}
 			lastRunEventID = max(lastRunEventID, m.event.ID)
 			s.runEvents++
+			g.reportBegan(s.r, time.Now())
 			held = false
 			if s.runEvents == eventsPastCrash {
 				g.recordAnswering(s.r)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -80,10 +80,11 @@
 			}
 		case verdictAnswered:
 			g.recordCompletion(r)
+			g.reportBegan(r, began)
 			g.deliver(w, r, in, resp)
 			return
 		case verdictErred:
-			t.failedResponse, t.failedUpstream = resp, in
+			t.failedResponse, t.failedUpstream, t.failedSentAt = resp, in, began
 		}
 	}
 	switch {
@@ -92,6 +93,7 @@
 		g.o.Logger.Info("client left", "id", r.ID, "route", r.route.Name, "took", time.Since(r.arrivedAt), "runs", t.runs)
 		panic(http.ErrAbortHandler)
 	case t.failedResponse != nil:
+		g.reportBegan(r, t.failedSentAt)
 		g.deliver(w, r, t.failedUpstream, t.failedResponse)
 	default:
 		f := t.refusal()
@@ -117,6 +119,8 @@
 	// failure. It is delivered if no other upstream gives a better one.
 	failedResponse *bufferedResponse
 	failedUpstream registry.Instance
+	// failedSentAt is when the request was sent to failedUpstream.
+	failedSentAt time.Time
 }
 
 // next returns the upstream for the next attempt, or false if the request must
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -227,6 +227,18 @@
 	return s, ok
 }
 
+// ScaledServices returns the names of the services whose upstreams can be ordered, sorted.
+func (t *Table) ScaledServices() []string {
+	var out []string
+	for name, s := range t.services {
+		if s.Scaling != nil {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // UniquelyServes reports whether one of the models is served by the engines of
 // this service and of no other, so that an engine with that model belongs to the
 // service.
