edge, usage: usage reports survive the failures of machines, links and the store

Cause: after a crash of the holder its own counts were lost, so that the window was left out; a holder that no daemon reaches reported its own counts only; a daemon that restarted in a window was taken for one whose counts are missing. Change: the holder copies its own counts to another daemon; counts that do not reach the holder go through another daemon, and through the store once a window if none can be reached; a holder that hears from less than half of the daemons resigns; messages say when they were made and whether they are the last. The machine takes the newest era of any response beside that of the directory.

--- a/duty/events.go
+++ b/duty/events.go
@@ -50,6 +50,9 @@
 		// Record is the key under the holder's lease, Last the key that stays.
 		Record, Last Seen
 	}
+	// EraSeen is the newest era that any response of the store named. Content of older eras
+	// is out of date.
+	EraSeen struct{ Era uint64 }
 	// AcquireEnded is the outcome of Acquire.
 	AcquireEnded struct {
 		Subject, Nonce string
@@ -84,6 +87,8 @@
 	Stop struct{}
 	// Release says that a stopping daemon makes no more calls for a subject.
 	Release struct{ Subject string }
+	// Resign says that the holder lacks what it needs to act and makes no call now.
+	Resign struct{ Subject string }
 	// Tick says that time has passed. It is due every tenth of a second.
 	Tick struct{}
 )
@@ -91,12 +96,14 @@
 func (Subjects) event()     {}
 func (Candidates) event()   {}
 func (Observed) event()     {}
+func (EraSeen) event()      {}
 func (AcquireEnded) event() {}
 func (ReadEnded) event()    {}
 func (RenewEnded) event()   {}
 func (CallEnded) event()    {}
 func (Stop) event()         {}
 func (Release) event()      {}
+func (Resign) event()       {}
 func (Tick) event()         {}
 
 type (
@@ -170,6 +177,8 @@
 	ReasonReplaced Reason = "replaced"
 	// ReasonCalls is a control service that does not answer this daemon.
 	ReasonCalls Reason = "calls_fail"
+	// ReasonResigned is a holder that lacks what it needs to act.
+	ReasonResigned Reason = "resigned"
 	// ReasonStop is a planned stop.
 	ReasonStop Reason = "stop"
 	// ReasonUnwanted is a subject that does not exist any more.
--- a/duty/machine.go
+++ b/duty/machine.go
@@ -28,7 +28,8 @@
 	// registrations of the daemons that start together with it, which are spread over 2 s.
 	// Until then most of them would rank first.
 	settleTime = 2200 * time.Millisecond
-	// calmTime is how long a daemon whose calls failed leaves the subject to others.
+	// calmTime is how long a daemon whose calls failed, or that resigned, leaves the subject to
+	// others.
 	calmTime = 10 * time.Second
 	// renewRetryDelay is the pause after a renewal without an answer, readRetryDelay that
 	// after a read without one.
@@ -151,6 +152,8 @@
 		m.candidates = ev.List
 	case Observed:
 		out = m.observed(ev, now)
+	case EraSeen:
+		m.raiseEra(ev.Era, now)
 	case AcquireEnded:
 		out = m.acquireEnded(ev, now)
 	case ReadEnded:
@@ -165,6 +168,10 @@
 		if s := m.subjects[ev.Subject]; s != nil {
 			out = m.release(s, ReasonStop, now)
 		}
+	case Resign:
+		if s := m.subjects[ev.Subject]; s != nil {
+			out = m.release(s, ReasonResigned, now)
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.subjects)) {
 		out = append(out, m.advance(m.subjects[name], now)...)
@@ -192,14 +199,9 @@
 // observed records the keys of a subject. Older observations, and those of older eras, are
 // ignored.
 func (m *Machine) observed(ev Observed, now time.Time) []Action {
-	if m.eraKnown && ev.Era < m.era {
+	if m.raiseEra(ev.Era, now); ev.Era < m.era {
 		return nil
 	}
-	if !m.eraKnown && ev.Era > 0 || m.eraKnown && ev.Era > m.era {
-		// A daemon that starts in a later era does not know when it rose.
-		m.eraRoseAt, m.eraBlockEnds = now, now.Add(m.o.Lease)
-	}
-	m.era, m.eraKnown = ev.Era, true
 	s := m.subjects[ev.Subject]
 	if s == nil {
 		return nil
@@ -229,6 +231,18 @@
 	return nil
 }
 
+// raiseEra records the newest era. After it rose, the records of the holders may be lost.
+func (m *Machine) raiseEra(era uint64, now time.Time) {
+	if era <= m.era && m.eraKnown {
+		return
+	}
+	if era > 0 {
+		// A daemon that starts in a later era does not know when it rose.
+		m.eraRoseAt, m.eraBlockEnds = now, now.Add(m.o.Lease)
+	}
+	m.era, m.eraKnown = era, true
+}
+
 // lose ends a hold whose lease may still exist.
 func (m *Machine) lose(s *subject, reason Reason, now time.Time) []Action {
 	h := s.hold
@@ -244,7 +258,7 @@
 	}
 	out := m.lose(s, reason, now)
 	s.lastHoldUntil = time.Time{}
-	if reason == ReasonCalls {
+	if reason == ReasonCalls || reason == ReasonResigned {
 		s.notBefore = later(s.notBefore, now.Add(calmTime))
 	} else {
 		s.notBefore = later(s.notBefore, now.Add(minRetryDelay))
--- a/duty/record.go
+++ b/duty/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -30,6 +31,9 @@
 	Recent []Holder `json:"recent,omitempty"`
 }
 
+// WrittenBy reports whether a process, by Options.Process, wrote the record.
+func (r Record) WrittenBy(process string) bool { return strings.HasPrefix(r.Nonce, process+"-") }
+
 // Encode returns the value of a key.
 func (r Record) Encode() []byte {
 	b, err := json.Marshal(r)
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -58,11 +58,13 @@
 )
 
 // The keys of duties in the store, below directory.DutyPrefix. The record of a subject has
-// the lease of its holder, the other keys have none.
+// the lease of its holder, counts that of their daemon; the other keys have none.
 const (
 	dutyRecordPrefix = directory.DutyPrefix + "holder/"
 	dutyTokenPrefix  = directory.DutyPrefix + "token/"
 	dutyUsageKey     = directory.DutyPrefix + "usage"
+	// dutyCountsPrefix has the counts of daemons that reach the store but no other daemon.
+	dutyCountsPrefix = directory.DutyPrefix + "counts/"
 )
 
 // dutyOptions configure the duties of a daemon.
@@ -73,9 +75,12 @@
 	// Planner is nil if no numbers of replicas are ordered.
 	Planner Planner
 	View    func() *directory.View
-	// Era returns the store's era; it is called after View, so that a view of an older era
-	// than it says is read again later.
-	Era func() uint64
+	// ViewEra returns the store's era of a view, Era the newest one that any response of the
+	// store named.
+	ViewEra func(*directory.View) uint64
+	Era     func() uint64
+	// Lease returns a lease of some minutes for keys of this daemon.
+	Lease func(ctx context.Context) (uint64, error)
 	// Send sends counts to the holder at a relay address.
 	Send func(ctx context.Context, address string, messages []usage.Message) error
 	// SinceBoot is a clock that also runs while the VM is suspended, TimeOfDay the VM's
@@ -110,9 +115,19 @@
 	// replicas are decided next.
 	nextWrite, nextCall, nextPlan time.Time
 	writeFailures                 int
-	// passOn holds the counts of other daemons that the next holder may not get from them.
-	passOn   []usage.Message
-	stopping bool
+	// passOn holds the counts of other daemons that the holder may not get from them.
+	passOn []usage.Message
+	// nextPassOn is when they may be sent without own counts.
+	nextPassOn time.Time
+	// sendFailures counts the messages in a row that reached neither the holder nor another
+	// daemon; countsWritten is the window in which counts were last written to the store.
+	sendFailures  int
+	countsWritten usage.Window
+	// countsSeen holds the revisions of the counts in the store that were merged, by key.
+	countsSeen map[string]uint64
+	// resignedAt is when this daemon last resigned because it did not hear from the others.
+	resignedAt time.Time
+	stopping   bool
 	// revoking is the number of leases whose end is asked for.
 	revoking int
 	running  sync.WaitGroup
@@ -127,7 +142,7 @@
 	s := o.Settings
 	d := &duties{
 		o: o, self: duty.Holder{Name: s.Name, Address: s.RelayAddress}, process: strconv.FormatUint(o.Rand.Uint64(), 36),
-		calling: map[string]bool{}, ctx: context.Background(),
+		calling: map[string]bool{}, countsSeen: map[string]uint64{}, ctx: context.Background(),
 	}
 	d.machine = duty.New(duty.Options{
 		Self: d.self, NarrowLink: d.narrow(s.LinkMbps), Process: d.process, Lease: s.Duties.Lease,
@@ -192,12 +207,21 @@
 	}
 }
 
-// Merge takes the counts of another daemon.
+// Merge takes the counts of another daemon. A daemon that is not the holder passes them on:
+// it gets them if their way to the holder is cut, or before it knows that it is the holder.
 func (d *duties) Merge(m usage.Message) error {
 	now := d.steadyNow()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.collector.Merge(m, now)
+	if err := d.collector.Merge(m, now); err != nil {
+		return err
+	}
+	if _, holding := d.machine.Holding(subjectUsage, d.o.SinceBoot()); holding || m.Process == d.process {
+		return nil
+	}
+	d.passOn = slices.DeleteFunc(slices.Clone(d.passOn), func(old usage.Message) bool { return old.Process == m.Process })
+	d.passOn = append(d.passOn, m)
+	return nil
 }
 
 // steadyNow returns the time of day that does not jump.
@@ -214,8 +238,12 @@
 // observe passes a new view of the directory to the machine and the collector. The caller
 // holds d.mu.
 func (d *duties) observe() {
-	v, era := d.o.View(), d.o.Era()
-	if v == d.view && era == d.era || v.Revision == 0 {
+	v := d.o.View()
+	era, newest := d.o.ViewEra(v), d.o.Era()
+	if v.Revision > 0 {
+		d.step(duty.EraSeen{Era: max(era, newest)})
+	}
+	if v == d.view || v.Revision == 0 || era < newest {
 		return
 	}
 	if era != d.era {
@@ -234,9 +262,13 @@
 			Record: d.seen(v, dutyRecordPrefix+name), Last: d.seen(v, dutyTokenPrefix+name),
 		})
 	}
-	if d.collector != nil && v.Revision >= d.usageKnownAt {
+	if d.collector == nil {
+		return
+	}
+	if v.Revision >= d.usageKnownAt {
 		d.storedUsage(v.Duties[dutyUsageKey], v.Revision)
 	}
+	d.storedCounts(v)
 }
 
 // subjects returns the subjects that exist.
@@ -343,6 +375,9 @@
 			return nil
 		})
 	case duty.Taken:
+		if a.Subject == subjectUsage {
+			d.passOn = nil
+		}
 		countDutyChange("taken", "")
 		d.o.Logger.Info("duty taken", "subject", a.Subject, "token", a.Token, "previous", a.Previous.Name,
 			"previous_address", a.Previous.Address, "waited", a.Waited, "without_break", a.Renewed)
@@ -394,6 +429,12 @@
 		return out
 	}
 	out.Lease = lease
+	if d.o.Era() > a.Era {
+		// The revisions in the conditions mean nothing in another era.
+		d.o.Logger.Info("duty not taken; the store was restored", "subject", a.Subject)
+		out.Outcome = duty.Failed
+		return out
+	}
 	value := a.Record.Encode()
 	out.Revision, err = d.o.Store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -125,16 +125,19 @@
 		return nil, eris.New("duties need a store with transactions and a control service")
 	}
 	return newDuties(dutyOptions{
-		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, Planner: o.Planner, View: f.View, Era: func() uint64 { return storeEra(f) },
+		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, Planner: o.Planner, View: f.View,
+		ViewEra: viewEra, Era: storeEra, Lease: f.Lease,
 		Send:      relay.NewClient(telemetry.WithPart(o.Logger, "relay")).SendUsage,
 		SinceBoot: bootclock.Now, TimeOfDay: time.Now, Logger: telemetry.WithPart(o.Logger, "duty"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}), nil
 }
 
-// storeEra returns the era of the store's content. The store's client does not tell it yet,
-// so that all content is of the first era.
-func storeEra(*directory.Follower) uint64 { return 0 }
+// viewEra returns the store's era of a view, and storeEra the newest one that a response of the
+// store named. The store's client does not tell them yet, so that all content is of the first
+// era.
+func viewEra(*directory.View) uint64 { return 0 }
+func storeEra() uint64               { return 0 }
 
 func newGateway(o Options, f *directory.Follower, p *upstream.Pool, d *duties) *gateway.Gateway {
 	var onBegan func(string, time.Time)
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +20,17 @@
 	"github.com/gooseberryroad/gooseberryroad/usage"
 )
 
+// passOnDelay is the pause between two messages with counts of other daemons only.
+const passOnDelay = 500 * time.Millisecond
+
+// countsWriteDelay is the time after the end of a window at which counts are written to the
+// store: late enough for the answers of short requests, early enough for the decision.
+const countsWriteDelay = 300 * time.Millisecond
+
+// lonelyTime is how long a daemon remembers that it resigned because it did not hear from the
+// others: as long as reports may be sent.
+const lonelyTime = 60 * time.Second
+
 // workOnUsage sends the counts of this daemon, decides windows and sends reports, as far as
 // this daemon is the holder. The caller holds d.mu.
 func (d *duties) workOnUsage(now time.Time) {
@@ -25,17 +38,26 @@
 	t, holding := d.machine.Tenure(subjectUsage, now)
 	if !holding {
 		d.sendCounts(steady)
+		d.writeCounts(steady)
 		return
 	}
 	d.mergeOwn(fmt.Sprint(t.Token), steady)
 	if !d.stopping && !d.writing && !now.Before(d.nextWrite) {
-		tenure := usage.Tenure{Since: steady.Add(t.Since.Sub(now))}
+		tenure := usage.Tenure{
+			Since:  steady.Add(t.Since.Sub(now)),
+			Lonely: !d.resignedAt.IsZero() && now.Sub(d.resignedAt) < lonelyTime,
+		}
 		if !t.EraRoseAt.IsZero() {
 			tenure.EraRoseAt = steady.Add(t.EraRoseAt.Sub(now))
 		}
 		if p, ok := d.collector.Decide(steady, tenure, d.view0().Peers); ok {
 			d.writing = true
 			d.after(func(ctx context.Context) duty.Event { d.writeDecision(ctx, t, p); return nil })
+		} else if !d.calling[subjectUsage] && d.collector.ShouldResign(steady, tenure, d.view0().Peers) {
+			d.o.Logger.Warn("counts of most daemons do not arrive; the duty is given to another daemon", "daemons", len(d.view0().Peers))
+			d.resignedAt = now
+			d.step(duty.Resign{Subject: subjectUsage})
+			return
 		}
 	}
 	for _, w := range d.collector.Expired(steady) {
@@ -60,6 +82,31 @@
 	if err := d.collector.Merge(m, now); err != nil {
 		d.o.Logger.Error("own counts refused", "cause", err)
 	}
+	d.sendCopy(m)
+}
+
+// sendCopy sends the holder's own counts to another daemon, which passes them on to the next
+// holder: without them, a crash of the holder would leave a window out of which all other
+// counts are known. The caller holds d.mu.
+func (d *duties) sendCopy(m usage.Message) {
+	address := d.otherDaemon(duty.Record{Holder: d.self})
+	if d.sending || address == "" {
+		return
+	}
+	d.sending = true
+	d.after(func(ctx context.Context) duty.Event {
+		ctx, cancel := context.WithTimeout(ctx, usageSendTimeout)
+		defer cancel()
+		err := d.o.Send(ctx, address, []usage.Message{m})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.sending = false
+		d.noteSent(err == nil)
+		if err != nil {
+			d.o.Logger.Info("copy of own counts not sent", "address", address, "cause", err)
+		}
+		return nil
+	})
 }
 
 // recipient returns the record of the holder of usage reports, if it is another process.
@@ -83,6 +130,7 @@
 		return
 	}
 	recipient := recipientID(r)
+	other := d.otherDaemon(r)
 	d.countMu.Lock()
 	due := d.counter.Due(recipient, now)
 	var messages []usage.Message
@@ -92,31 +140,133 @@
 		messages[0], arrived = d.counter.Message(recipient, now)
 	}
 	d.countMu.Unlock()
-	if !due {
+	passOn := d.messagesFor(r)
+	if !due && (len(passOn) == 0 || now.Before(d.nextPassOn)) {
 		return
 	}
-	messages = append(messages, d.passOn...)
+	d.nextPassOn = now.Add(passOnDelay)
+	messages = append(messages, passOn...)
 	d.sending = true
 	d.after(func(ctx context.Context) duty.Event {
 		ctx, cancel := context.WithTimeout(ctx, usageSendTimeout)
 		defer cancel()
 		err := d.o.Send(ctx, r.Address, messages)
+		around := err != nil && due && other != "" && d.sendAround(other, messages[0])
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.sending = false
-		countUsageMessage(err == nil)
+		d.noteSent(err == nil || around)
 		if err != nil {
 			d.o.Logger.Info("counts not sent", "holder", r.Name, "address", r.Address, "cause", err)
 			return nil
 		}
-		d.passOn = nil
-		d.countMu.Lock()
-		defer d.countMu.Unlock()
-		arrived()
+		d.passOn = slices.DeleteFunc(slices.Clone(d.passOn), func(m usage.Message) bool {
+			return slices.ContainsFunc(passOn, func(sent usage.Message) bool {
+				return m.Process == sent.Process && m.Sequence == sent.Sequence
+			})
+		})
+		if due {
+			d.countMu.Lock()
+			defer d.countMu.Unlock()
+			arrived()
+		}
 		return nil
 	})
 }
 
+// messagesFor returns the messages of other processes to pass on to a holder: not its own.
+// The caller holds d.mu.
+func (d *duties) messagesFor(r duty.Record) []usage.Message {
+	return slices.DeleteFunc(slices.Clone(d.passOn), func(m usage.Message) bool { return r.WrittenBy(m.Process) })
+}
+
+// otherDaemon returns the address of a daemon that is neither the holder nor this one; empty
+// if there is none. The caller holds d.mu.
+func (d *duties) otherDaemon(holder duty.Record) string {
+	var others []string
+	for _, p := range d.view0().PeerList {
+		if p.Address != holder.Address && p.Address != d.self.Address {
+			others = append(others, p.Address)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[d.o.Rand.IntN(len(others))]
+}
+
+// noteSent records whether a message reached any daemon. The caller holds d.mu.
+func (d *duties) noteSent(arrived bool) {
+	countUsageMessage(arrived)
+	if arrived {
+		d.sendFailures = 0
+	} else {
+		d.sendFailures++
+	}
+}
+
+// sendAround sends counts that did not reach the holder to another daemon, which passes them
+// on: the link to the holder may be cut for this daemon only.
+func (d *duties) sendAround(address string, m usage.Message) (arrived bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), usageSendTimeout)
+	defer cancel()
+	err := d.o.Send(ctx, address, []usage.Message{m})
+	d.o.Logger.Info("counts sent to another daemon", "address", address, "cause", err)
+	return err == nil
+}
+
+// writeCounts writes the counts of this daemon to the store, once in each window, while no
+// other daemon can be reached. The caller holds d.mu.
+func (d *duties) writeCounts(now time.Time) {
+	length := d.o.Settings.Duties.Window
+	present := usage.WindowAt(now, length)
+	first := d.countsWritten == 0
+	if d.sendFailures == 0 {
+		d.countsWritten = 0
+		return
+	}
+	sinceEnd := now.Sub((present - 1).End(length))
+	if d.countsWritten == present || !first && sinceEnd < countsWriteDelay {
+		return
+	}
+	d.countsWritten = present
+	d.countMu.Lock()
+	m, _ := d.counter.Message("", now)
+	d.countMu.Unlock()
+	value, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // numbers by name can always be encoded
+	}
+	d.after(func(ctx context.Context) duty.Event {
+		ctx, cancel := context.WithTimeout(ctx, 2*dutyStoreTimeout)
+		defer cancel()
+		lease, err := d.o.Lease(ctx)
+		if err == nil {
+			_, err = d.o.Store.Commit(ctx, store.Transaction{Writes: []store.LeasedEntry{{Key: dutyCountsPrefix + d.self.Name, Value: value, Lease: lease}}})
+		}
+		d.o.Logger.Warn("no other daemon can be reached; counts written to the store", "cause", err)
+		return nil
+	})
+}
+
+// storedCounts merges the counts that daemons wrote to the store.
+func (d *duties) storedCounts(v *directory.View) {
+	for key, e := range v.Duties {
+		if !strings.HasPrefix(key, dutyCountsPrefix) || d.countsSeen[key] == e.Index {
+			continue
+		}
+		d.countsSeen[key] = e.Index
+		var m usage.Message
+		err := json.Unmarshal(e.Value, &m)
+		if err == nil {
+			err = d.collector.Merge(m, d.steadyNow())
+		}
+		if err != nil {
+			d.o.Logger.Warn("counts in the store cannot be read", "key", key, "cause", err)
+		}
+	}
+}
+
 // writeDecision writes decided windows to the store if this daemon's record is unchanged.
 func (d *duties) writeDecision(ctx context.Context, t duty.Tenure, p usage.Proposal) {
 	value, err := json.Marshal(p.Stored)
@@ -235,14 +385,11 @@
 	now := d.steadyNow()
 	recipient := recipientID(r)
 	d.mu.Lock()
-	messages := append([]usage.Message{}, d.passOn...)
+	messages := d.messagesFor(r)
 	d.mu.Unlock()
 	d.countMu.Lock()
-	if len(messages) == 0 && !d.counter.Unsent(recipient) {
-		d.countMu.Unlock()
-		return true, nil
-	}
 	m, _ := d.counter.Message(recipient, now)
+	m.Final = true
 	d.countMu.Unlock()
 	err = d.o.Send(ctx, r.Address, append(messages, m))
 	return err == nil, err
--- a/usage/collector.go
+++ b/usage/collector.go
@@ -19,6 +19,12 @@
 	// minCoverage is the part of the registered daemons whose counts a holder needs for a
 	// window that ended before it took over.
 	minCoverage = 0.9
+	// minHeard is the part of the registered daemons from which a holder must have heard
+	// after the end of a window to decide it. Daemons that crashed stay registered for
+	// minutes, so it cannot be near 1; a holder that hears less is probably cut off.
+	minHeard = 0.5
+	// resignDelay is how long after the time of the decision the holder waits for them.
+	resignDelay = 1500 * time.Millisecond
 	// maxGap bounds the windows that are named as left out after a long break.
 	maxGap = 10 * time.Minute
 	// maxStored is the number of decided windows that the store keeps.
@@ -52,6 +58,9 @@
 	Since time.Time
 	// EraRoseAt is when the store was last restored from an older copy; zero is never.
 	EraRoseAt time.Time
+	// Lonely says that the daemon resigned lately because it did not hear from the others,
+	// and holds the duty again: no other one hears more.
+	Lonely bool
 }
 
 // Proposal is a decision that takes effect once Stored is written.
@@ -188,9 +197,9 @@
 // Decide returns what to write to the store, if a window is to be decided. daemons are the
 // names of the registered daemons.
 func (c *Collector) Decide(now time.Time, t Tenure, daemons []string) (Proposal, bool) {
-	last := WindowAt(now.Add(-decideDelay), c.length) - 1
 	oldest := c.oldest(now, t)
-	if last < oldest || now.Before(t.Since.Add(gatherTime)) && c.coverage(oldest, daemons) < 1 {
+	last := min(WindowAt(now.Add(-decideDelay), c.length)-1, c.lastHeard(oldest, now, t, daemons))
+	if last < oldest || now.Before(t.Since.Add(gatherTime)) && c.coverage(oldest, daemons, true) < 1 {
 		return Proposal{}, false
 	}
 	c.forget(now)
@@ -217,6 +226,24 @@
 	return p, true
 }
 
+// lastHeard returns the newest window up to which the holder has heard from enough daemons.
+func (c *Collector) lastHeard(oldest Window, now time.Time, t Tenure, daemons []string) Window {
+	present := WindowAt(now, c.length)
+	for w := oldest; w < present && !t.Lonely; w++ {
+		if now.Sub(w.End(c.length)) <= keepFor && c.coverage(w, daemons, false) < minHeard {
+			return w - 1
+		}
+	}
+	return present - 1
+}
+
+// ShouldResign reports whether the holder does not hear from the other daemons.
+func (c *Collector) ShouldResign(now time.Time, t Tenure, daemons []string) bool {
+	w := c.lastHeard(c.oldest(now, t), now, t, daemons) + 1
+	overdue := now.Sub(w.End(c.length)) >= decideDelay+resignDelay
+	return overdue && now.Sub(t.Since) >= gatherTime+resignDelay
+}
+
 // oldest returns the oldest window that was not decided or left out and may be: before the
 // first report of the deployment, the first one in which a daemon counted.
 func (c *Collector) oldest(now time.Time, t Tenure) Window {
@@ -242,31 +269,57 @@
 		// Another holder may have decided the window, and the store lost it.
 		return false
 	}
-	return !end.Before(t.Since) || c.coverage(w, daemons) >= minCoverage
+	return !end.Before(t.Since) || c.coverage(w, daemons, true) >= minCoverage
 }
 
-// coverage returns the part of the daemons that sent complete counts of a window after its
-// end. Before the first report of the deployment, no earlier process of a daemon can have
-// counted.
-func (c *Collector) coverage(w Window, daemons []string) float64 {
+// coverage returns the part of the daemons' counts of a window that the holder has. If counts
+// have to be complete, daemons of whose earlier processes counts may be missing do not count.
+func (c *Collector) coverage(w Window, daemons []string, complete bool) float64 {
 	if len(daemons) == 0 {
-		return 0
+		return 1
 	}
-	have := map[string]bool{}
+	byDaemon := map[string][]Message{}
 	for _, p := range c.processes {
-		_, listed := p.message.Windows[w]
-		complete := listed && p.message.Complete <= w || c.newest == 0
-		if complete && !p.at.Before(w.End(c.length)) {
-			have[p.message.Daemon] = true
-		}
+		byDaemon[p.message.Daemon] = append(byDaemon[p.message.Daemon], p.message)
 	}
-	n := 0
+	var sum float64
 	for _, d := range daemons {
-		if have[d] {
-			n++
+		sum += c.known(w, byDaemon[d], complete)
+	}
+	return sum / float64(len(daemons))
+}
+
+// known returns the part of a window for which the holder has the counts of a daemon. The last
+// message of a process that crashed was made during the window.
+func (c *Collector) known(w Window, messages []Message, complete bool) float64 {
+	var oldest, newest *Message
+	for i := range messages {
+		m := &messages[i]
+		if oldest == nil || m.Complete < oldest.Complete {
+			oldest = m
+		}
+		if newest == nil || m.AtMs > newest.AtMs {
+			newest = m
 		}
 	}
-	return float64(n) / float64(len(daemons))
+	if newest == nil {
+		return 0
+	}
+	// Before the first report of the deployment, no earlier process can have counted.
+	if complete && c.newest != 0 {
+		_, listed := oldest.Windows[w]
+		if oldest.Complete > w || !listed && !oldest.Final {
+			return 0
+		}
+		if newest != oldest && !oldest.Final {
+			newest = oldest
+		}
+	}
+	if newest.Final {
+		return 1
+	}
+	left := w.End(c.length).Sub(time.UnixMilli(newest.AtMs))
+	return max(0, min(1-float64(left)/float64(c.length), 1))
 }
 
 func (c *Collector) sum(w Window) Counts {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -21,6 +21,10 @@
 	Process string `json:"process"`
 	// Sequence grows with each message of a process.
 	Sequence uint64 `json:"sequence"`
+	// AtMs is when the message was made, in milliseconds since the start of 1970.
+	AtMs int64 `json:"at_ms"`
+	// Final says that the process ends and counts no more.
+	Final bool `json:"final,omitempty"`
 	// Complete is the first window that began after the process did. Of earlier ones, an
 	// earlier process of the daemon may have counted a part.
 	Complete Window `json:"complete"`
@@ -40,8 +44,10 @@
 	// changes counts the changes, sequence the messages.
 	changes, sequence uint64
 	// sentChanges is the value of changes in the last message that arrived, at the
-	// recipient sentTo; triedAt is when the last message was made.
+	// recipient sentTo, and sentIn the window in which it was made; triedAt is when the last
+	// message was made.
 	sentChanges uint64
+	sentIn      Window
 	sentTo      string
 	triedAt     time.Time
 }
@@ -74,14 +80,15 @@
 }
 
 // Unsent reports whether a recipient lacks counts: the counts have changed since the last
-// message that arrived there, or it is a new one.
-func (c *Counter) Unsent(recipient string) bool {
-	return recipient != c.sentTo || c.changes != c.sentChanges
+// message that arrived there, a window has ended since, so that the recipient does not know
+// whether it hears from this daemon, or it is a new one.
+func (c *Counter) Unsent(recipient string, now time.Time) bool {
+	return recipient != c.sentTo || c.changes != c.sentChanges || c.sentIn < WindowAt(now, c.length)
 }
 
 // Due reports whether a message must be sent to a recipient now.
 func (c *Counter) Due(recipient string, now time.Time) bool {
-	if !c.Unsent(recipient) {
+	if !c.Unsent(recipient, now) {
 		return false
 	}
 	return now.Sub(c.triedAt) >= time.Duration(sendShare*float64(c.length)) || now.Before(c.triedAt)
@@ -92,7 +99,7 @@
 func (c *Counter) Message(recipient string, now time.Time) (m Message, arrived func()) {
 	c.triedAt = now
 	c.sequence++
-	m = Message{Daemon: c.daemon, Process: c.process, Sequence: c.sequence, Complete: c.first + 1, Windows: map[Window]Counts{}}
+	m = Message{Daemon: c.daemon, Process: c.process, Sequence: c.sequence, AtMs: now.UnixMilli(), Complete: c.first + 1, Windows: map[Window]Counts{}}
 	present := WindowAt(now, c.length)
 	oldest := max(c.decided+1, c.first, WindowAt(now.Add(-keepFor), c.length))
 	maps.DeleteFunc(c.counts, func(w Window, _ Counts) bool { return w < oldest })
@@ -113,6 +120,6 @@
 		if recipient == c.sentTo {
 			changes = max(changes, c.sentChanges)
 		}
-		c.sentChanges, c.sentTo = changes, recipient
+		c.sentChanges, c.sentTo, c.sentIn = changes, recipient, present
 	}
 }
