--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -377,6 +377,20 @@
 		Eventually(crashes, "5s").Should(Equal(map[quarantine.Hash]int{h: 2, other: 1}))
 	})
 
+	// Guards against daemons that each ask the store who holds a duty.
+	It("publishes the records of duties, their changes and their ends", func() {
+		f := start("d1")
+		value := func(key string) func() string {
+			return func() string { return string(f.View().Duties[directory.DutyPrefix+key].Value) }
+		}
+		st.put(directory.DutyPrefix+"holder/usage", "r1")
+		Eventually(value("holder/usage"), "5s").Should(Equal("r1"))
+		st.put(directory.DutyPrefix+"holder/usage", "r2")
+		Eventually(value("holder/usage"), "5s").Should(Equal("r2"))
+		st.remove(directory.DutyPrefix + "holder/usage")
+		Eventually(value("holder/usage"), "5s").Should(BeEmpty())
+	})
+
 	It("reads a snapshot after the store compacted its history", func() {
 		f := start("d1")
 		Eventually(version(f)).Should(BeEquivalentTo(1))
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
+	"github.com/gooseberryroad/gooseberryroad/routes"
 	"github.com/gooseberryroad/gooseberryroad/sources"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/usage"
@@ -43,6 +44,8 @@
 	next     uint64
 	history  []storeState
 	writes   int
+	// table is the configuration.
+	table *routes.Table
 }
 
 type storeState struct {
@@ -54,7 +57,7 @@
 
 // changed keeps the content. The caller holds s.mu.
 func (s *fakeStore) changed(peers []sources.Peer) {
-	v := &directory.View{Revision: s.revision, PeerList: peers, Duties: maps.Clone(s.entries), Ready: true}
+	v := &directory.View{Table: s.table, Revision: s.revision, PeerList: peers, Duties: maps.Clone(s.entries), Ready: true}
 	for _, p := range peers {
 		v.Peers = append(v.Peers, p.Name)
 	}
@@ -113,6 +116,7 @@
 	reports    map[int64]map[string]int64
 	reportedAt map[int64]time.Time
 	violations []string
+	orders     []string
 }
 
 func (c *fakeCloud) take(call CloudCall, window int64, counts map[string]int64) {
@@ -150,6 +154,8 @@
 	daemons []*testDaemon
 	logs    *bytes.Buffer
 	logMu   sync.Mutex
+	// planner makes the planner of a daemon; nil if no replicas are ordered.
+	planner func() Planner
 	// starts counts the processes.
 	starts uint64
 	// began holds the requests that upstreams began, by window in true time.
@@ -184,12 +190,17 @@
 // wait lets virtual time pass.
 func wait(d time.Duration) { <-time.After(d) }
 
-func newDutyWorld(t *testing.T, n int) *dutyWorld {
+func newDutyWorld(t *testing.T, n int) *dutyWorld { return newPlannedWorld(t, n, nil) }
+
+// newPlannedWorld returns a world in which numbers of replicas are ordered, too.
+func newPlannedWorld(t *testing.T, n int, p func() Planner) *dutyWorld {
 	w := &dutyWorld{
-		t: t, logs: &bytes.Buffer{}, began: map[int64]int64{}, begin: time.Now(),
+		planner: p,
+		t:       t, logs: &bytes.Buffer{}, began: map[int64]int64{}, begin: time.Now(),
 		store: &fakeStore{revision: 100, entries: map[string]store.Entry{}, leaseOf: map[string]uint64{}, leases: map[uint64]time.Time{}},
 		cloud: &fakeCloud{reports: map[int64]map[string]int64{}, reportedAt: map[int64]time.Time{}},
 	}
+	w.store.table = routes.NewTable(routes.Config{Version: 1, Services: []routes.Service{{Name: "llm", Scaling: &routes.Scaling{Min: 1, Max: 9}}, {Name: "tags"}}})
 	var peers []sources.Peer
 	for i := range n {
 		w.daemons = append(w.daemons, &testDaemon{w: w, name: fmt.Sprint("d", i)})
@@ -206,11 +217,15 @@
 	w := d.w
 	log := slog.New(slog.NewTextHandler(w, nil)).With("daemon", d.name)
 	w.starts++
+	var planner Planner
+	if w.planner != nil {
+		planner = w.planner()
+	}
 	started := newDuties(dutyOptions{
 		Settings: Settings{Name: d.name, RelayAddress: d.name + ":1", Duties: DutySettings{
-			Usage: true, CallsPerSecond: 50, Lease: testLease, Window: testWindow, ReportDue: 10 * time.Second, Tolerance: 0.05,
+			Usage: true, Scaling: planner != nil, CallsPerSecond: 50, Lease: testLease, Window: testWindow, ReportDue: 10 * time.Second, Tolerance: 0.05,
 		}},
-		Store: d, Cloud: d, View: d.view, ViewEra: d.viewEra, Era: d.newestEra, Lease: d.ownLease, Send: d.send, Logger: log,
+		Store: d, Cloud: d, Planner: planner, View: d.view, ViewEra: d.viewEra, Era: d.newestEra, Lease: d.ownLease, Send: d.send, Logger: log,
 		SinceBoot: func() time.Time { return time.Unix(0, int64(time.Since(w.begin)+time.Hour)) },
 		TimeOfDay: func() time.Time { return time.Now().Add(d.skew).Round(0) },
 		Rand:      rand.New(rand.NewPCG(7, w.starts)),
@@ -459,7 +474,19 @@
 	return nil
 }
 
-func (d *testDaemon) OrderReplicas(context.Context, CloudCall, string, string, int) error { return nil }
+func (d *testDaemon) OrderReplicas(ctx context.Context, call CloudCall, service, dataCentre string, n int) error {
+	if err := d.link(ctx, &d.noControl); err != nil {
+		return err
+	}
+	c := d.w.cloud
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.turnAway {
+		return ErrCallRate
+	}
+	c.orders = append(c.orders, fmt.Sprintf("%s %d %s %s %d", call.Holder, call.Token, service, dataCentre, n))
+	return nil
+}
 
 // holder returns the daemon that holds the duty.
 func (w *dutyWorld) holder() *testDaemon {
@@ -668,3 +695,51 @@
 		}
 	})
 }
+
+// onePlan orders a number in each of two data centres, until the orders are accepted.
+type onePlan struct{ open map[string]int }
+
+func (p *onePlan) Orders(service string, _, _ time.Time) map[string]int {
+	if service != "llm" {
+		return nil
+	}
+	return p.open
+}
+
+func (p *onePlan) Ordered(_, dataCentre string, _ int, _ time.Time, err error) {
+	if err == nil {
+		delete(p.open, dataCentre)
+	}
+}
+
+// Guards against orders of replicas by daemons that do not hold the service's subject, and
+// against orders that are lost while the control service takes no calls.
+func TestHolderOfAServiceOrdersReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newPlannedWorld(t, 4, func() Planner { return &onePlan{open: map[string]int{"a": 3, "b": 2}} })
+		w.cloud.mu.Lock()
+		w.cloud.turnAway = true
+		w.cloud.mu.Unlock()
+		wait(8 * time.Second)
+		w.cloud.mu.Lock()
+		w.cloud.turnAway = false
+		w.cloud.mu.Unlock()
+		w.effect()
+		if len(w.cloud.orders) != 2 {
+			t.Fatalf("orders are %v", w.cloud.orders)
+		}
+		var holder string
+		var token uint64
+		for i, want := range []string{"a 3", "b 2"} {
+			var h, service, dataCentre string
+			var n int
+			if _, err := fmt.Sscan(w.cloud.orders[i], &h, &token, &service, &dataCentre, &n); err != nil {
+				t.Fatal(err)
+			}
+			if i > 0 && h != holder || service != "llm" || fmt.Sprint(dataCentre, " ", n) != want {
+				t.Errorf("order %d is %s, want %s", i, w.cloud.orders[i], want)
+			}
+			holder = h
+		}
+	})
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -121,8 +121,8 @@
 	if !o.Settings.Duties.Any() {
 		return nil, nil
 	}
-	if o.DutyStore == nil || o.Cloud == nil {
-		return nil, eris.New("duties need a store with transactions and a control service")
+	if o.DutyStore == nil || o.Cloud == nil || o.Settings.RelayAddress == "" {
+		return nil, eris.New("duties need a store with transactions, a control service and an address for other daemons")
 	}
 	return newDuties(dutyOptions{
 		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, Planner: o.Planner, View: f.View,
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -70,13 +70,16 @@
 // Any reports whether the deployment has duties.
 func (d DutySettings) Any() bool { return d.Usage || d.Scaling }
 
+// minDutyLease is the shortest lease that the store grants.
+const minDutyLease = time.Second
+
 // check returns an error if the daemon cannot perform the duties.
 func (d DutySettings) check() error {
 	switch {
 	case !d.Any():
 		return nil
-	case d.Lease <= 0:
-		return eris.New("settings: duties need a lease")
+	case d.Lease < minDutyLease:
+		return eris.Errorf("settings: duties need a lease of at least %v", minDutyLease)
 	case d.Usage && (d.Window <= 0 || d.ReportDue <= 0):
 		return eris.New("settings: usage reports need the length of a window and the time at which a report is due")
 	case d.CallsPerSecond < 0 || d.Tolerance < 0:
@@ -103,8 +106,5 @@
 		s.MaxRevocationTime < 0 || s.MaxDrainTime < 0:
 		return eris.New("settings: times and ratios cannot be negative")
 	}
-	if s.Duties.Any() && s.RelayAddress == "" {
-		return eris.New("settings: duties need the address for other daemons")
-	}
 	return s.Duties.check()
 }
