--- a/duty/schedule_test.go
+++ b/duty/schedule_test.go
@@ -147,9 +147,13 @@
 // if no response arrives.
 func (d *simDaemon) call(run func(now time.Time) duty.Event, lost duty.Event) {
 	w, process := d.w, d.process
+	var era uint64
 	deliver := func(ev duty.Event) {
 		if d.process == process && ev != nil {
-			d.inbox = append(d.inbox, func() { d.step(ev) })
+			d.inbox = append(d.inbox, func() {
+				d.step(duty.EraSeen{Era: era})
+				d.step(ev)
+			})
 		}
 	}
 	answered := false
@@ -168,6 +172,7 @@
 			return
 		}
 		ev := run(now)
+		era = w.store.era
 		if loseResponse || d.noStore {
 			return
 		}
@@ -290,6 +295,19 @@
 	d.step(duty.CallEnded{Subject: "s", SentAt: d.w.now, OK: !d.callsFail})
 }
 
+// holder returns a daemon that holds the subject; nil if there is none.
+func (w *world) holder() *simDaemon {
+	for _, d := range w.daemons {
+		if d.machine == nil || d.frozen {
+			continue
+		}
+		if _, ok := d.machine.Holding("s", w.now); ok {
+			return d
+		}
+	}
+	return nil
+}
+
 // check holds the rules of the page against what happened so far.
 func (w *world) check() {
 	var holder *simDaemon
@@ -334,10 +352,21 @@
 	t := w.t
 	d := rapid.SampledFrom(w.daemons).Draw(t, "daemon")
 	kind := rapid.SampledFrom([]string{
-		"kill", "start", "freeze", "thaw", "cut store", "cut directory", "heal", "lag", "calls fail", "calls work", "stop", "restore", "restore with leases", "quiet", "quiet", "heal all",
+		"restart holder", "restart holder", "restart holder", "kill holder", "freeze holder", "kill", "start", "freeze", "thaw", "cut store", "cut directory", "heal", "lag", "calls fail", "calls work", "stop", "restore", "restore with leases", "quiet", "quiet", "heal all",
 	}).Draw(t, "change")
+	if what, ok := strings.CutSuffix(kind, " holder"); ok {
+		// Changes of any daemon rarely meet the holder twice within a lease.
+		if d = w.holder(); d == nil {
+			return
+		}
+		kind = what
+	}
 	w.log("-- %s %v", kind, d.self)
 	switch kind {
+	case "restart":
+		d.step(duty.Stop{})
+		d.step(duty.Release{Subject: "s"})
+		d.start()
 	case "kill":
 		d.machine = nil
 	case "start":
