--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -42,7 +42,7 @@
 	maxLossHold = 10 * time.Second
 	// resendInterval is the longest time between two orders for a data centre.
 	resendInterval = 10 * time.Second
-	// goneAfter is how long a data centre must be without upstreams to count as removed.
+	// goneAfter is how long a data centre must be lost to count as removed.
 	// Until then its loss is the one that the reserve is for.
 	goneAfter = 20 * time.Second
 	// forgetAfter is how long a data centre without upstreams still gets orders, so that its
@@ -182,10 +182,12 @@
 type dataCentre struct {
 	// serving and draining count the upstreams.
 	serving, draining int
-	// emptySince is when the last serving upstream was gone; planned says that it left
-	// as announced.
-	emptySince time.Time
-	planned    bool
+	// full is the largest number of serving upstreams, at most the ordered number.
+	full int
+	// lostSince is when fewer than half of these were left, zero if there are more; planned
+	// says that they left as announced.
+	lostSince time.Time
+	planned   bool
 	// number is the last order, or the number of upstreams before the first one.
 	number  int
 	ordered bool
@@ -257,18 +259,18 @@
 		p.lostAt = now
 	}
 	for name, dc := range p.dataCentres {
-		switch {
-		case dc.serving > 0:
-			dc.emptySince, dc.planned = time.Time{}, false
-		case dc.emptySince.IsZero():
-			dc.emptySince, dc.planned = now, !unplanned[name]
-		case now.Sub(dc.emptySince) >= forgetAfter && dc.draining == 0:
-			delete(p.dataCentres, name)
-			continue
-		}
 		if !dc.ordered {
 			dc.number = max(dc.number, dc.serving)
 		}
+		dc.full = min(max(dc.full, dc.serving), dc.number)
+		switch {
+		case dc.serving > 0 && 2*dc.serving >= dc.full:
+			dc.lostSince, dc.planned = time.Time{}, false
+		case dc.lostSince.IsZero():
+			dc.lostSince, dc.planned = now, !unplanned[name]
+		case dc.serving+dc.draining == 0 && now.Sub(dc.lostSince) >= forgetAfter:
+			delete(p.dataCentres, name)
+		}
 	}
 }
 
@@ -439,9 +441,9 @@
 func (p *plan) present(now time.Time) (n int, reserve bool) {
 	reserve = true
 	for _, dc := range p.dataCentres {
-		if dc.serving > 0 {
+		if dc.lostSince.IsZero() {
 			n++
-		} else if !dc.planned && now.Sub(dc.emptySince) < goneAfter {
+		} else if !dc.planned && now.Sub(dc.lostSince) < goneAfter {
 			reserve = false
 		}
 	}
@@ -529,8 +531,8 @@
 		return n, binding
 	}
 	wanted, rule := bound(number)
-	if dc.serving == 0 {
-		// An empty data centre keeps its number until it is back or forgotten.
+	if !dc.lostSince.IsZero() {
+		// A lost data centre keeps its number until it is back or forgotten.
 		kept, _ := bound(dc.number)
 		return kept, "kept"
 	}
