sizing: no lowering while demand rises, forecast without the whole reserve

Cause: a wave of 27% over 20 s to 60 s made the planner lower at its trough and raise within a start time. Change: a lower number waits while the last 5 s exceed the base; the forecast with a loss may use up the room for waits. Run: go test ./sizing -race -count=1, green.

--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -75,6 +75,9 @@
 	// prompts differ in length. medianNoise is the noise of a median in that of a mean.
 	noiseFactor = 1.2
 	medianNoise = 1.25
+	// risingNoise is by how many standard deviations the last seconds exceed the base if
+	// demand rises.
+	risingNoise = 1.5
 	// maxGrowth bounds the forecast.
 	maxGrowth = 1.0
 	// defaultSlots is used if engines do not report their slots.
@@ -115,7 +118,7 @@
 	// the number of replicas in
 	// each beyond those that the demand needs while all are there.
 	DataCentres, Reserve int
-	// Binding names the rule that gives the number: "loss", "present", "burst", "slots",
+	// Binding names the rule that gives the number: "loss", "present", "forecast", "burst", "slots",
 	// "min", "max", "kept" while a lower number is not ordered yet.
 	Binding string
 }
@@ -284,6 +287,9 @@
 	local map[string]float64
 	// noise and baseNoise are the relative standard deviations of Recent and Base.
 	noise, baseNoise float64
+	// rising says that demand is above its base, so that a lower number would soon be raised
+	// again.
+	rising bool
 	// bins is the number of bins with samples.
 	bins int
 }
@@ -341,6 +347,10 @@
 	d.noise = noiseFactor / math.Sqrt(float64(max(countedRecently, 1)))
 	d.baseNoise = noiseFactor * medianNoise / math.Sqrt(float64(max(counted, 1)))
 	d.Growth = p.growth(mean, d.noise)
+	if n := len(mean[0]); n >= trendBins-1 {
+		lately := sum(mean[0]) / float64(n) * p.pace
+		d.rising = lately*(1-risingNoise*d.noise*math.Sqrt(float64(recentBins)/trendBins)) > d.Base
+	}
 	d.Prefill = time.Duration(allTokens / max(arrived, 1) * p.pace * float64(time.Second))
 	d.Use = targetUse(p.service.Objective, d.Prefill)
 	// The runs that the base demand leads to, or those that run, if these are more.
@@ -358,9 +368,7 @@
 		if len(w) < trendBins-1 {
 			return 1
 		}
-		for _, n := range w {
-			means[i] += n / float64(len(w))
-		}
+		means[i] = sum(w) / float64(len(w))
 	}
 	if means[1] <= 0 || means[2] <= 0 {
 		return 1
@@ -409,13 +417,15 @@
 		left--
 	}
 	ceil := func(x float64) int { return int(math.Ceil(x - 1e-9)) }
-	number, binding := ceil(d.Base*d.Growth/d.Use/left), "loss"
+	number, binding := ceil(d.Base/d.Use/left), "loss"
 	raise := func(x float64, rule string) {
 		if c := ceil(x); c > number {
 			number, binding = c, rule
 		}
 	}
 	raise(d.Recent*d.Growth/presentUse/float64(n), "present")
+	// The forecast and a loss at the same time may use up what is left for waits.
+	raise(d.Base*d.Growth/presentUse/left, "forecast")
 	wait := burstWait * max(p.service.Objective-d.Prefill, 0).Seconds()
 	raise(burstFactor*d.Base*burstTime.Seconds()/(burstTime.Seconds()+wait)/float64(n), "burst")
 	raise(d.Running*d.Growth/(slotUse*float64(p.slots()))/left, "slots")
@@ -459,7 +469,7 @@
 		return nil
 	}
 	number, binding := p.require(&d, n, reserve)
-	d.DataCentres, d.Reserve = n, number-int(math.Ceil(d.Base*d.Growth/d.Use/float64(n)))
+	d.DataCentres, d.Reserve = n, number-int(math.Ceil(d.Base/d.Use/float64(n)))
 	// Noise alone raises nothing.
 	likely := d
 	likely.Recent /= 1 + d.noise
@@ -474,7 +484,7 @@
 	if held && now.Sub(p.lostSince) < maxLossHold {
 		return nil
 	}
-	mayLower := !learning && !held && covered && !p.service.Moving
+	mayLower := !learning && !held && covered && !d.rising && !p.service.Moving
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(p.dataCentres)) {
 		dc := p.dataCentres[name]
@@ -554,6 +564,13 @@
 	return target, rule
 }
 
+func sum(values []float64) (total float64) {
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
 func median(sorted []float64) float64 {
 	n := len(sorted)
 	if n%2 == 1 {
