sizing: paces from calm times only, planned removal, repeats without samples

Cause: with few engines in a queue the measured prefill was 2.3 s instead of 1.04 s, and 22 engines were ordered for 3. A service without replicas counted as lost, a planned removal still got orders, and silence ended the repeats. Change: paces are believed only from bins of low use; a removed data centre gets no orders; the last numbers are sent again without samples; during a move the number follows what runs, since both versions are counted.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/retrybudget"
+	"github.com/gooseberryroad/gooseberryroad/sizing"
 )
 
 // Gateway is the http.Handler that serves the requests of clients.
@@ -31,6 +32,7 @@
 	// runningStreams is the number of streams that are being served.
 	runningStreams atomic.Int64
 	heldBodies     byteLimiter
+	demand         demandMeter
 
 	mu      sync.Mutex
 	rnd     *rand.Rand
@@ -70,6 +72,7 @@
 	return &Gateway{
 		o: o, started: time.Now(), rnd: o.Rand, stopEnds: stopEnds, endOfStop: endOfStop,
 		tracker: placement.NewTracker(o.DataCentre, o.Rand),
+		demand:  demandMeter{meter: sizing.NewMeter(o.DataCentre, time.Now())},
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
 		verdicts:    map[string]cutover.Rejected{},
 		meters:      map[string]*cutover.Meter{},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -46,6 +46,8 @@
 	// useTargetVersion says that the request goes to the version to which its
 	// service is being moved.
 	useTargetVersion bool
+	// sized says that the request counts for the number of replicas of its service.
+	sized bool
 }
 
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
@@ -76,6 +78,7 @@
 		refusal = r.admitWhileDraining(plan, g.usualTime(r.route), arrived)
 	}
 	if refusal == nil {
+		g.countDemand(r)
 		var held int64
 		held, refusal = g.readBody(w, hr, view.Table, r)
 		defer g.heldBodies.release(held)
@@ -158,6 +161,7 @@
 	r.service = route.Choose(g.randomFloat())
 	if s, ok := view.Table.Service(r.service); ok {
 		r.engine = s.Engine
+		r.sized = s.Scaling != nil && route.Kind == routes.Stream
 	}
 	r.deadline = deadline(call.Timeout, route.Timeout, arrived)
 	return r, nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -172,6 +172,8 @@
 	// countedSlow says that the run was counted as slow before its first event.
 	countedSlow := false
 	g.recordSent(s.r, p.upstream, began)
+	measured := s.measureRun(p.upstream.ID, readingPrompt, began)
+	defer measured.ended()
 	settle := sync.OnceFunc(func() { g.recordSettled(s.r, p.upstream, began) })
 	defer settle()
 	// firstEvent is the time to the first event; 0 for a run that does not read its
@@ -250,6 +252,7 @@
 			}
 			if readingPrompt {
 				firstEvent = time.Since(began)
+				measured.firstEvent()
 				if !countedSlow {
 					g.recordOutcome(s.r, p.upstream, false, began)
 				}
--- a/sizing/fleet_test.go
+++ b/sizing/fleet_test.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// reconcile starts and drains engines as ordered.
+// reconcile starts and drains engines as ordered. During a move an operator starts more.
 func (f *fleet) reconcile() {
 	count := map[string]int{}
 	for _, e := range f.engines {
@@ -225,7 +225,7 @@
 			f.startEngine(dc, f.now.Add(f.scaling.StartTime))
 		}
 		for _, e := range f.engines {
-			if count[dc] > f.wanted[dc] && e.dataCentre == dc && !e.draining {
+			if !f.moving && count[dc] > f.wanted[dc] && e.dataCentre == dc && !e.draining {
 				e.draining = true
 				count[dc]--
 			}
@@ -271,13 +271,9 @@
 }
 
 func (f *fleet) deliverMessage(d *testDaemon) {
-	b, err := json.Marshal(d.meter.Message(f.now))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	var m sizing.Message
-	if err := json.Unmarshal(b, &m); err != nil {
-		f.t.Fatal(err)
+	m := d.meter.Message(f.now)
+	if d == f.daemons[0] {
+		m = f.encodeAndDecode(m)
 	}
 	if f.deliver != nil {
 		f.deliver(d, m)
@@ -288,6 +284,17 @@
 	}
 }
 
+func (f *fleet) encodeAndDecode(m sizing.Message) (out sizing.Message) {
+	b, err := json.Marshal(m)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := json.Unmarshal(b, &out); err != nil {
+		f.t.Fatal(err)
+	}
+	return out
+}
+
 // poisson returns a random number with a mean below about 10.
 func (f *fleet) poisson(mean float64) int {
 	limit, n := math.Exp(-mean), 0
--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -67,10 +67,12 @@
 	// slotUse is the share of slots that running streams may take after the loss of a data
 	// centre.
 	slotUse = 0.8
-	// learnUse is the use up to which measured paces are believed at once. Above it waits
-	// are part of them, and the pace rises by at most paceRise a second.
+	// learnUse is the use up to which measured paces are believed at once, and calmBins how
+	// long after a higher use its queues are gone. Otherwise waits are part of them, and the
+	// pace rises by at most paceRise a second.
 	learnUse = 0.65
-	paceRise = 1.02
+	calmBins = 4
+	paceRise = 1.01
 	// noiseFactor is the noise of a sum of prompt tokens in that of the number of requests:
 	// prompts differ in length. medianNoise is the noise of a median in that of a mean.
 	noiseFactor = 1.2
@@ -119,7 +121,7 @@
 	// each beyond those that the demand needs while all are there.
 	DataCentres, Reserve int
 	// Binding names the rule that gives the number: "loss", "present", "forecast", "burst", "slots",
-	// "min", "max", "kept" while a lower number is not ordered yet.
+	// "min", "max", "moving", "kept" while a lower number is not ordered yet.
 	Binding string
 }
 
@@ -218,6 +220,8 @@
 	// bin of its last change.
 	pace    float64
 	paceBin int64
+	// calmFrom is the first bin since which use was low.
+	calmFrom int64
 	// needs holds what the last bins required.
 	needs map[int64]need
 }
@@ -267,12 +271,10 @@
 		}
 		dc.full = min(max(dc.full, dc.serving), dc.number)
 		switch {
-		case dc.serving > 0 && 2*dc.serving >= dc.full:
+		case 2*dc.serving >= dc.full && (dc.serving > 0 || dc.ordered && dc.number == 0):
 			dc.lostSince, dc.planned = time.Time{}, false
 		case dc.lostSince.IsZero():
 			dc.lostSince, dc.planned = now, !unplanned[name]
-		case dc.serving+dc.draining == 0 && now.Sub(dc.lostSince) >= forgetAfter:
-			delete(p.dataCentres, name)
 		}
 	}
 }
@@ -280,7 +282,6 @@
 // demand is what the planner derives from the samples of one bin.
 type demand struct {
 	Reasons
-	mean totals
 	// covered is set if enough daemons were heard in the bin.
 	covered bool
 	// local is the recent demand by data centre of the daemons.
@@ -332,7 +333,7 @@
 	if recentCount == 0 {
 		return d, false
 	}
-	p.learnPace(s, bin, allTokens/float64(len(tokens)))
+	p.learnPace(s, bin, max(allTokens/float64(len(tokens)), recent/float64(recentCount)))
 	if p.pace == 0 && allTokens > 0 {
 		if p.pace = s.firstEventTime(p.service.Name, firstBin, bin) * arrived / allTokens; p.pace == 0 {
 			return d, false
@@ -379,10 +380,10 @@
 	return 1 + min(max(rise, 0)*horizon, maxGrowth)
 }
 
-// learnPace takes over the measured time for a prompt token.
+// learnPace takes over the measured time for a prompt token. tokens is how many are asked
+// for in a second.
 func (p *plan) learnPace(s *samples, bin int64, tokens float64) {
-	measured, ok := s.pace(p.service.Name, bin-paceBins+1, bin)
-	if !ok || bin <= p.paceBin && p.pace > 0 {
+	if p.pace > 0 && bin <= p.paceBin {
 		return
 	}
 	serving := 0
@@ -390,9 +391,19 @@
 		serving += dc.serving
 	}
 	if p.pace > 0 && tokens*p.pace > learnUse*float64(serving) {
-		measured = min(measured, p.pace*math.Pow(paceRise, float64(bin-p.paceBin)))
+		p.calmFrom = bin + calmBins
+	}
+	first := bin - paceBins + 1
+	if calm, ok := s.pace(p.service.Name, max(first, p.calmFrom), bin); ok {
+		p.pace, p.paceBin = calm, bin
+		return
+	}
+	if measured, ok := s.pace(p.service.Name, first, bin); ok {
+		if p.pace > 0 {
+			measured = min(measured, p.pace*paceRise)
+		}
+		p.pace, p.paceBin = measured, bin
 	}
-	p.pace, p.paceBin = measured, bin
 }
 
 // targetUse returns the share of the time for which engines may be busy. An engine reads
@@ -462,11 +473,18 @@
 
 // order returns the orders of the service that are due.
 func (p *plan) order(s *samples, now time.Time) []Order {
+	maps.DeleteFunc(p.dataCentres, func(_ string, dc *dataCentre) bool {
+		return dc.serving+dc.draining == 0 && !dc.lostSince.IsZero() && now.Sub(dc.lostSince) >= forgetAfter
+	})
+	held := !p.lostAt.IsZero() && now.Sub(p.lostAt) < lossHold
+	if held && now.Sub(p.lostSince) < maxLossHold {
+		return nil
+	}
 	bin := s.lastBin(now)
 	d, ok := p.observe(s, bin)
 	n, reserve := p.present(now)
 	if !ok || n == 0 || d.bins < int(minRaiseTime/interval) {
-		return nil
+		return p.repeat(now)
 	}
 	number, binding := p.require(&d, n, reserve)
 	d.DataCentres, d.Reserve = n, number-int(math.Ceil(d.Base/d.Use/float64(n)))
@@ -480,17 +498,13 @@
 	maps.DeleteFunc(p.needs, func(b int64, _ need) bool { return b < bin-2*int64(lookback/interval) })
 
 	learning := now.Sub(p.since) < learnTime
-	held := !p.lostAt.IsZero() && now.Sub(p.lostAt) < lossHold
-	if held && now.Sub(p.lostSince) < maxLossHold {
-		return nil
-	}
 	mayLower := !learning && !held && covered && !d.rising && !p.service.Moving
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(p.dataCentres)) {
 		dc := p.dataCentres[name]
 		next, rule := p.next(dc, number, raiseTo, sufficed, binding, mayLower, now)
 		changed := next != dc.number
-		if learning && !changed || !changed && !dc.sentAt.IsZero() && now.Sub(dc.sentAt) < resendInterval {
+		if learning && !changed || !changed && !dc.due(now) || dc.removed() {
 			continue
 		}
 		o := Order{Service: p.service.Name, DataCentre: name, Number: next, Previous: dc.number, Reasons: d.Reasons}
@@ -504,6 +518,26 @@
 	return out
 }
 
+// repeat returns the last orders that are due again, for a time without samples.
+func (p *plan) repeat(now time.Time) []Order {
+	var out []Order
+	for _, name := range slices.Sorted(maps.Keys(p.dataCentres)) {
+		if dc := p.dataCentres[name]; dc.ordered && dc.due(now) && !dc.removed() {
+			out = append(out, Order{Service: p.service.Name, DataCentre: name, Number: dc.number, Previous: dc.number, Reasons: Reasons{Binding: "kept"}})
+			dc.sentAt = now
+		}
+	}
+	return out
+}
+
+// due reports whether an unchanged order must be sent again.
+func (dc *dataCentre) due(now time.Time) bool {
+	return dc.sentAt.IsZero() || now.Sub(dc.sentAt) >= resendInterval
+}
+
+// removed reports whether the upstreams left as announced, so that nothing is ordered.
+func (dc *dataCentre) removed() bool { return !dc.lostSince.IsZero() && dc.planned }
+
 // sufficed returns the number that would have sufficed in every bin of the lookback, with
 // the margin of a lower number, and whether enough daemons were heard in all of them.
 func (p *plan) sufficed(s *samples, bin int64, n int, reserve bool) (number int, covered bool) {
@@ -552,6 +586,9 @@
 		return wanted, rule
 	case dc.number > high && high > 0:
 		return high, "max"
+	case p.service.Moving && dc.serving > dc.number && dc.number < high:
+		// The control service counts both versions: it would stop replicas of one of them.
+		return min(dc.serving, high), "moving"
 	}
 	target, rule := bound(sufficed)
 	if !mayLower || target >= dc.number || now.Sub(dc.loweredAt) < lowerInterval {
--- a/sizing/planner_test.go
+++ b/sizing/planner_test.go
@@ -245,7 +245,11 @@
 			}
 			f.checkLate(0.005)
 			f.run(140 * time.Second)
-			if n := len(slices.DeleteFunc(f.ordersIn(125*time.Second, 140*time.Second), func(o sentOrder) bool { return o.DataCentre != "a" })); n > 0 {
+			from := 125 * time.Second
+			if name == "planned" {
+				from = 61 * time.Second
+			}
+			if n := len(slices.DeleteFunc(f.ordersIn(from, 140*time.Second), func(o sentOrder) bool { return o.DataCentre != "a" })); n > 0 {
 				t.Errorf("%d orders for the removed data centre", n)
 			}
 			if t.Failed() {
@@ -300,6 +304,8 @@
 			t.Errorf("%s: %d ordered at %s", o.DataCentre, o.Number, o.at)
 		}
 	}
+	// The new replicas are counted too, up to the largest number that can be ordered.
+	f.checkTotal(4*46, 4*46)
 	f.checkRules()
 	f.moving = false
 	f.run(100 * time.Second)
@@ -335,6 +341,9 @@
 			f.run(begin)
 			before := f.total()
 			f.run(begin + test.length + time.Second)
+			if last := f.orders[len(f.orders)-1].at; f.elapsed()-last > 11*time.Second {
+				t.Errorf("no order since %s", last)
+			}
 			if n := f.total(); n < before && !test.lowers || n < before-4 || n > before+12 {
 				t.Errorf("%d engines after the silence, %d before", n, before)
 				f.logOrders()
@@ -499,6 +508,24 @@
 	f.checkRules()
 }
 
+// Guards against a service without replicas that never gets any when its demand is back.
+func TestDemandAfterNone(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"a": 3, "b": 3})
+	f.scaling.Min = 0
+	f.rate = func(at time.Duration) float64 {
+		if at > 10*time.Second && at < 60*time.Second {
+			return 0
+		}
+		return 3
+	}
+	f.run(60 * time.Second)
+	f.checkTotal(0, 0)
+	f.run(70 * time.Second)
+	f.checkTotal(2, 12)
+	f.run(90 * time.Second)
+	f.checkTotal(6, 14)
+}
+
 // Guards against an order that is lost with the call that carried it.
 func TestFailedOrderIsDueAgain(t *testing.T) {
 	f := newFleet(t, 1, usualEngines)
