--- a/sizing/meter.go
+++ b/sizing/meter.go
@@ -130,7 +130,7 @@
 	out := Message{Process: m.process, DataCentre: m.dataCentre}
 	for _, in := range m.past {
 		end := m.start.Add(time.Duration(in.Seq+1) * interval)
-		in.AgeMs = now.Sub(end).Milliseconds()
+		in.AgeMs = max(now.Sub(end).Milliseconds(), 0)
 		out.Intervals = append(out.Intervals, in)
 	}
 	return out
