--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -22,6 +22,8 @@
 	// seconds does not count as a lasting rise. recentBins is the window of the present
 	// demand, and trendBins that of the means from which a trend is taken.
 	baseBins, recentBins, trendBins = 20, 3, 5
+	// peakBins is the window in which a higher demand than the present one is looked for.
+	peakBins = 35
 	// paceBins is the window in which the time of a prefill is measured.
 	paceBins = 30
 	// lookback is how long a lower number would have to have sufficed: 10 s are required,
@@ -299,7 +301,12 @@
 func (p *plan) observe(s *samples, bin int64) (demand, bool) {
 	d := demand{local: map[string]float64{}}
 	firstBin := max(bin-baseBins+1, s.binAt(p.since))
-	var tokens []float64
+	var tokens, earlier []float64
+	for b := max(bin-peakBins+1, s.binAt(p.since)); b < firstBin; b++ {
+		if t := s.of(p.service.Name, b); t.heard > 0 {
+			earlier = append(earlier, t.tokens)
+		}
+	}
 	var mean [3][]float64
 	recent, runningRecently := 0.0, 0.0
 	recentCount, countedRecently, counted := 0, 0, 0
@@ -339,6 +346,7 @@
 			return d, false
 		}
 	}
+	peak := highestMean(append(earlier, tokens...), trendBins)
 	slices.Sort(tokens)
 	d.Base = median(tokens) * p.pace
 	d.Recent = recent / float64(recentCount) * p.pace
@@ -347,7 +355,7 @@
 	}
 	d.noise = noiseFactor / math.Sqrt(float64(max(countedRecently, 1)))
 	d.baseNoise = noiseFactor * medianNoise / math.Sqrt(float64(max(counted, 1)))
-	d.Growth = p.growth(mean, d.noise)
+	d.Growth = p.growth(mean, peak, d.noise)
 	if n := len(mean[0]); n >= trendBins-1 {
 		lately := sum(mean[0]) / float64(n) * p.pace
 		d.rising = lately*(1-risingNoise*d.noise*math.Sqrt(float64(recentBins)/trendBins)) > d.Base
@@ -361,9 +369,11 @@
 }
 
 // growth returns by which factor demand is expected to grow until replicas that are ordered
-// now serve. means holds the samples of the last windows, newest first. A step is no
-// trend: the demand must rise in both pairs of windows, by more than its noise.
-func (p *plan) growth(windows [3][]float64, noise float64) float64 {
+// now serve. windows holds the tokens of the last windows, newest first, and peak is the
+// highest mean of an earlier one. A step is no trend: the demand must rise in both pairs of
+// windows, by more than its noise. Demand that was higher lately is expected to rise to
+// that: it may be a wave.
+func (p *plan) growth(windows [3][]float64, peak, noise float64) float64 {
 	var means [3]float64
 	for i, w := range windows {
 		if len(w) < trendBins-1 {
@@ -377,7 +387,11 @@
 	// The noise of the mean of a window is less than that of the recent demand.
 	rise := min(means[0]-means[1], means[1]-means[2])/means[1] - noise*math.Sqrt(2*float64(recentBins)/trendBins)
 	horizon := (p.service.Scaling.StartTime+settleTime).Seconds()/trendBins + 0.5
-	return 1 + min(max(rise, 0)*horizon, maxGrowth)
+	factor := 1 + min(max(rise, 0)*horizon, maxGrowth)
+	if means[0] < peak*(1+noise) {
+		return min(factor, max(peak/means[0], 1))
+	}
+	return factor
 }
 
 // learnPace takes over the measured time for a prompt token. tokens is how many are asked
@@ -608,6 +622,14 @@
 	return total
 }
 
+// highestMean returns the highest mean of n values in a row, the last n left out.
+func highestMean(values []float64, n int) (highest float64) {
+	for end := n; end <= len(values)-n; end++ {
+		highest = max(highest, sum(values[end-n:end])/float64(n))
+	}
+	return highest
+}
+
 func median(sorted []float64) float64 {
 	n := len(sorted)
 	if n%2 == 1 {
