--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -48,6 +48,8 @@
 	useTargetVersion bool
 	// reported says that Options.OnBegan was called for the request.
 	reported bool
+	// sized says that the request counts for the number of replicas of its service.
+	sized bool
 }
 
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
@@ -78,6 +80,7 @@
 		refusal = r.admitWhileDraining(plan, g.usualTime(r.route), arrived)
 	}
 	if refusal == nil {
+		g.countDemand(r)
 		var held int64
 		held, refusal = g.readBody(w, hr, view.Table, r)
 		defer g.heldBodies.release(held)
@@ -169,6 +172,7 @@
 	r.service = route.Choose(g.randomFloat())
 	if s, ok := view.Table.Service(r.service); ok {
 		r.engine = s.Engine
+		r.sized = s.Scaling != nil && route.Kind == routes.Stream
 	}
 	r.deadline = deadline(call.Timeout, route.Timeout, arrived)
 	return r, nil
