--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -115,6 +115,9 @@
 	Models []string
 	// Runs are the runs that the engine lists.
 	Runs []EngineRun
+	// UsedTokens is the part of the KV cache that running requests need, in tokens, and
+	// TotalTokens the whole KV cache; 0 is unknown.
+	UsedTokens, TotalTokens int
 }
 
 // EngineRun is a run that an engine lists in its report.
