store, directory, platform: eras of a store that is restored from an older copy

Cause: after a restore the store's revisions go back. The daemons ignored its content as older until it had caught up, compared conditions with revisions that were assigned again, and took over the copy's configuration, orders and registrations.

Change: indexes hold the era in front of the revision, so that directory, relay and conditions are ordered by both. platform decodes the header, ignores responses of an older era and refuses conditions and leases of another one. Package era decides what stays in force until it was written again; the registry keeps draining upstreams draining.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -78,8 +78,10 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(stop)
 	defer signal.Stop(reload)
+	kv := platform.NewStore(s.StoreAddress)
+	kv.SetLogger(telemetry.WithPart(logger, "store"))
 	d, err := edge.New(edge.Options{
-		Settings: s, Store: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger,
+		Settings: s, Store: kv, Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger,
 	})
 	if err != nil {
 		return err
--- a/cutover/cutover.go
+++ b/cutover/cutover.go
@@ -47,6 +47,9 @@
 	State  State
 	// Revision is the store's revision of the status; 0 means that there is none.
 	Revision uint64
+	// Lost says that the store lost the status when it was restored from an older copy, so
+	// that it has to be written again.
+	Lost bool
 }
 
 // Open reports whether the status s neither completes nor reverts the order. A
@@ -142,6 +145,10 @@
 	// peerEvidence holds what other daemons published, and peerSum its sum.
 	peerEvidence map[string]Evidence
 	peerSum      Evidence
+	// lostAt is when NextWrite first found that the store lost the status, and lostWrites
+	// how often it returned the status since.
+	lostAt     time.Time
+	lostWrites int
 	// badRoute is the route on which the target was found bad, at judgedAt.
 	badRoute string
 	judgedAt time.Time
@@ -502,10 +509,24 @@
 // that may write the status, from 0.
 func (c *Cutover) NextWrite(now time.Time, rank int) Write {
 	w := Write{StatusRevision: c.status.Revision}
-	if !c.retry.Ready(now) || c.ended() {
+	delay := time.Duration(rank) * rankDelay
+	if !c.status.Lost {
+		c.lostAt, c.lostWrites = time.Time{}, 0
+	} else if c.lostAt.IsZero() {
+		c.lostAt = now
+	}
+	if !c.retry.Ready(now) {
+		return w
+	}
+	// The pause leaves the directory time to read what was written.
+	if c.status.Lost && now.Sub(c.lostAt) >= delay+time.Duration(c.lostWrites)*maxWriteRetry {
+		w.State = c.status.State
+		c.lostWrites++
+	}
+	if c.ended() {
 		return w
 	}
-	elapsed, delay := now.Sub(c.startedAt), time.Duration(rank)*rankDelay
+	elapsed := now.Sub(c.startedAt)
 	elapsedAtEnd := elapsed - time.Duration(rank)*finalRankDelay
 	switch {
 	case c.badRoute != "":
@@ -546,5 +567,12 @@
 	c.unpublished = c.unpublished || evidence
 }
 
+// StatusLost reports whether the store lost the status when it was restored from an older
+// copy.
+func (c *Cutover) StatusLost() bool { return c.status.Lost }
+
+// PublishAgain notes that the store lost what was published.
+func (c *Cutover) PublishAgain() { c.unpublished = true }
+
 // WriteSucceeded notes that a write succeeded.
 func (c *Cutover) WriteSucceeded() { c.retry.Succeeded() }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -52,6 +52,8 @@
 	writes int
 	// staleBy is how many of the last changes a page that may be stale lacks.
 	staleBy int
+	// era is the newest era that any client knows.
+	era store.Era
 	// allowed decides whether a call is served; nil serves all.
 	allowed func() bool
 }
@@ -213,6 +215,18 @@
 	}
 }
 
+func (c storeClient) Era() store.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+func (c storeClient) NoteEra(e store.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = max(c.era, e)
+}
+
 func (c storeClient) countWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -12,8 +12,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/gooseberryroad/gooseberryroad/era"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/sources"
 	"github.com/gooseberryroad/gooseberryroad/store"
@@ -68,6 +70,10 @@
 	// registrationCheckInterval is how often a daemon checks whether the registration
 	// of an earlier process has ended.
 	registrationCheckInterval = time.Second
+	// restoreDelay is the range of the random delay with which a daemon reads the content of
+	// a store that was restored from an older copy. It spreads the reads of all daemons that
+	// watch the store.
+	restoreDelay = 200 * time.Millisecond
 	// minRegisterRetry is the shortest pause after a registration that failed.
 	minRegisterRetry = 2 * time.Second
 )
@@ -76,6 +82,7 @@
 type Store interface {
 	store.Watcher
 	store.Leaser
+	store.Eras
 }
 
 // Relay fetches content from other daemons.
@@ -237,22 +244,27 @@
 	// lease is the ID of the lease of this process's keys; 0 before the first one.
 	lease          uint64
 	leaseGrantedAt time.Time
+	leaseEra       store.Era
 }
 
+// Era returns the newest era of the store that this daemon has learnt of.
+func (f *Follower) Era() store.Era { return f.options.Store.Era() }
+
 // Lease returns the ID of the lease of this daemon's keys. It asks the store for one
 // if there is none that lasts for a while.
 func (f *Follower) Lease(ctx context.Context) (uint64, error) {
 	f.leaseMu.Lock()
 	defer f.leaseMu.Unlock()
-	if f.lease != 0 && time.Since(f.leaseGrantedAt) < peerLease/2 {
+	// An era that rises during the grant makes the next call ask for another lease.
+	now, e := time.Now(), f.Era()
+	if f.lease != 0 && f.leaseEra == e && now.Sub(f.leaseGrantedAt) < peerLease/2 {
 		return f.lease, nil
 	}
-	now := time.Now()
 	lease, err := f.options.Store.Grant(ctx, peerLease)
 	if err != nil {
 		return 0, eris.Wrap(err, "grant the lease")
 	}
-	f.lease, f.leaseGrantedAt = lease, now
+	f.lease, f.leaseGrantedAt, f.leaseEra = lease, now, e
 	return lease, nil
 }
 
@@ -314,7 +326,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case now := <-tick.C:
+			s.expireKept(now)
 		case o := <-outcomes:
 			f.handleOutcome(s, chooser, o)
 			if s.peersChanged {
@@ -334,8 +347,14 @@
 func (f *Follower) nextQuery(s *state, c *sources.Chooser) query {
 	now := time.Now()
 	c.Confirmed(s.confirmedAt)
-	q := query{source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted, until: s.confirmedAt.Add(f.timing.confirmInterval)}
+	restored := s.loaded && f.Era() > store.EraOf(s.revision)
+	q := query{
+		source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted || restored,
+		until: s.confirmedAt.Add(f.timing.confirmInterval),
+	}
 	switch {
+	case q.source.Kind == sources.Store && restored:
+		q.source.Delay = max(q.source.Delay, restoreDelay)
 	case q.source.Probe:
 		q.until = now
 	case q.source.Kind == sources.Follow:
@@ -368,6 +387,10 @@
 			c.PeerFailed(name, now)
 			return
 		}
+		// Until a daemon knows the newest era, another one may pass on its content earlier.
+		if store.EraOf(o.update.Revision) < f.Era() {
+			o.update.UpToDate = false
+		}
 		if !o.update.UpToDate {
 			f.options.Logger.Info("followed daemon does not see the store", "daemon", name, "revision", s.revision, "age", o.update.Age)
 		}
@@ -387,6 +410,12 @@
 		c.StoreAnswered()
 		s.compacted = true
 		return
+	case errors.Is(o.err, store.ErrOlderEra):
+		// The store is not away. The next call is delayed, so that a store which answers in
+		// turns from two eras is not asked without a pause.
+		f.options.Logger.Info("response of an older era of the store ignored", "era", f.Era(), "revision", s.revision)
+		c.StoreFailed()
+		return
 	case o.err != nil:
 		if s.storeReachable {
 			f.options.Logger.Warn("store lost", "revision", s.revision, "cause", o.err)
@@ -409,6 +438,11 @@
 
 // applyPeerUpdate applies what another daemon knows, if it is newer.
 func (f *Follower) applyPeerUpdate(s *state, u Update, now time.Time) {
+	if store.EraOf(u.Revision) < f.Era() {
+		metrics.GetOrCreateCounter(`gooseberryroad_store_older_era_responses_total{source="daemon"}`).Inc()
+		return
+	}
+	f.options.Store.NoteEra(store.EraOf(u.Revision))
 	if at := now.Add(-u.Age); at.After(s.confirmedAt) && (!s.loaded || u.Revision >= s.revision) {
 		s.confirmedAt = at
 	}
@@ -457,10 +491,7 @@
 	next := &Content{
 		recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision, sourceWorking: s.sourceWorking, nearOutage: nearOutage,
 		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision,
-		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: make([]store.Entry, 0, len(s.entries)),
-	}
-	for _, e := range s.entries {
-		next.entries = append(next.entries, e)
+		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: s.contentEntries(),
 	}
 	f.content.Store(next)
 	// Later than the content: the store did not confirm the old one again.
@@ -612,18 +643,26 @@
 	for ctx.Err() == nil && !f.loaded.Load() {
 		pause.For(ctx, loadCheckInterval)
 	}
+	known := f.Era()
 	pause.For(ctx, rand.N(registerDelay))
-	for ctx.Err() == nil && f.registered.Load() {
+	for ctx.Err() == nil && f.registered.Load() && f.Era() == known {
 		pause.For(ctx, registrationCheckInterval)
 	}
 	for ctx.Err() == nil {
+		if e := f.Era(); e != known {
+			// The store lost the registrations of all daemons.
+			known = e
+			pause.For(ctx, rand.N(era.RewriteSpread))
+		}
 		if err := f.registerOnce(ctx); err != nil {
 			f.options.Logger.Warn("registration of this daemon failed; retrying", "cause", err)
 			pause.For(ctx, minRegisterRetry+rand.N(minRegisterRetry))
 			continue
 		}
 		f.options.Logger.Info("daemon registered", "address", f.options.Self.Address)
-		pause.For(ctx, peerLease/2)
+		for due := time.Now().Add(peerLease / 2); ctx.Err() == nil && time.Now().Before(due) && f.Era() == known; {
+			pause.For(ctx, registrationCheckInterval)
+		}
 	}
 }
 
--- a/directory/state.go
+++ b/directory/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
+	"github.com/gooseberryroad/gooseberryroad/era"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
@@ -99,6 +100,9 @@
 type Cutover struct {
 	Order  cutover.Order
 	Status cutover.Status
+	// Unconfirmed says that the order stays in force although the store does not hold it
+	// since it was restored from an older copy. No status of it is written meanwhile.
+	Unconfirmed bool
 	// Evidence is what each daemon published, by the daemon's name.
 	Evidence map[string]cutover.Evidence
 }
@@ -115,9 +119,15 @@
 type state struct {
 	log     *slog.Logger
 	decoder Decoder
-	// entries holds the store's entries as they were read, for the relay.
-	entries  map[string]store.Entry
-	revision uint64
+	// entries holds the store's entries as they were read, for the relay. keeper holds what
+	// is in force in their place since the store was restored from an older copy.
+	entries map[string]store.Entry
+	keeper  era.Keeper
+	// config is the entry of the newest configuration that was read.
+	config store.Entry
+	// orderKeys and statusKeys hold the keys of the orders and statuses by service.
+	orderKeys, statusKeys map[string]string
+	revision              uint64
 	// confirmedAt is when the store last confirmed the content.
 	confirmedAt time.Time
 	loaded      bool
@@ -158,6 +168,7 @@
 		log: log, decoder: d, entries: map[string]store.Entry{},
 		registry: registry.New(), peers: map[string]sources.Peer{},
 		orders: map[string]cutover.Order{}, statuses: map[string]cutover.Status{}, evidence: map[string]map[string]cutover.Evidence{},
+		orderKeys: map[string]string{}, statusKeys: map[string]string{},
 		rejected: map[string]cutover.Rejected{},
 		crashes:  map[string]map[quarantine.Hash]int{}, partReports: map[string]PartReport{},
 	}
@@ -170,16 +181,20 @@
 		s.log.Info("store content of an older revision ignored", "revision", revision, "known", s.revision)
 		return
 	}
-	seen := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		seen[e.Key] = true
-		if old, ok := s.entries[e.Key]; !ok || old.Index < e.Index {
-			s.put(e, now)
+	if s.loaded && store.EraOf(revision) > store.EraOf(s.revision) {
+		s.applyRestored(entries, revision, now)
+	} else {
+		seen := make(map[string]bool, len(entries))
+		for _, e := range entries {
+			seen[e.Key] = true
+			if old, ok := s.entries[e.Key]; !ok || old.Index < e.Index {
+				s.write(e, now)
+			}
 		}
-	}
-	for key := range s.entries {
-		if !seen[key] {
-			s.remove(key, false, now)
+		for key := range s.entries {
+			if !seen[key] {
+				s.remove(key, false, now)
+			}
 		}
 	}
 	s.revision = revision
@@ -200,12 +215,166 @@
 		if c.Deleted {
 			s.remove(c.Key, s.recoveryRevision != 0 && c.Index > s.recoveryRevision, now)
 		} else {
-			s.put(c.Entry, now)
+			s.write(c.Entry, now)
 		}
 	}
 	s.revision = max(s.revision, revision)
 }
 
+// applyRestored replaces all entries by those of a store that was restored from an older
+// copy, except for what stays in force until it was written again.
+func (s *state) applyRestored(entries []store.Entry, revision uint64, now time.Time) {
+	draining := s.registry.StoreRestored(now)
+	s.recoveryRevision = revision
+	plan := s.keeper.Restored(s.entries, entries, s.classOf, now)
+	known := s.entries
+	s.entries = make(map[string]store.Entry, len(entries))
+	for _, key := range plan.Remove {
+		s.entries[key] = known[key]
+	}
+	for _, e := range entries {
+		if _, ok := known[e.Key]; ok {
+			s.entries[e.Key] = e
+		}
+	}
+	for _, e := range plan.Put {
+		if !s.continueOrder(e) {
+			s.put(e, now)
+		}
+	}
+	for _, key := range plan.Remove {
+		s.remove(key, false, now)
+	}
+	version := int64(0)
+	if s.table != nil {
+		version = s.table.Version()
+	}
+	s.log.Warn("store was restored from an older copy", "era", store.EraOf(revision), "previous_era", store.EraOf(s.revision),
+		"revision", store.RevisionOf(revision), "previous_revision", store.RevisionOf(s.revision), "configuration", version,
+		"kept", plan.Kept, "draining", draining, "lapsed", len(plan.Remove))
+}
+
+// classOf returns how long the value of a key stays in force after the store was restored
+// from an older copy. Upstreams have a rule of their own in the registry.
+func (s *state) classOf(key string) era.Class {
+	e := store.Entry{Key: key}
+	if _, ok, _ := s.decoder.Config(e); ok {
+		return era.Lasting
+	}
+	if _, _, ok, _ := s.decoder.Status(e); ok {
+		return era.Lasting
+	}
+	if _, ok, _ := s.decoder.Order(e); ok {
+		return era.Brief
+	}
+	switch {
+	case strings.HasPrefix(key, RejectedPrefix):
+		return era.Lasting
+	case strings.HasPrefix(key, PeerPrefix), strings.HasPrefix(key, CrashPrefix), strings.HasPrefix(key, PartPrefix), strings.HasPrefix(key, EvidencePrefix):
+		return era.Brief
+	}
+	return era.Immediate
+}
+
+// write applies a write of the store.
+func (s *state) write(e store.Entry, now time.Time) {
+	if s.withinVerdict(e) {
+		s.entries[e.Key] = e
+		s.dirty = true
+		return
+	}
+	if _, first := s.keeper.Written(e.Key, now); first && s.continueOrder(e) {
+		return
+	}
+	s.put(e, now)
+}
+
+// continueOrder reports whether e repeats the order that is in force, as its operator does
+// after the store was restored from an older copy. It stays the same order, so that it is
+// not carried out a second time.
+func (s *state) continueOrder(e store.Entry) bool {
+	o, ok, err := s.decoder.Order(e)
+	known, exists := s.orders[o.Service]
+	if !ok || err != nil || !exists || o.Target != known.Target || o.TimeLimit != known.TimeLimit {
+		return false
+	}
+	s.entries[e.Key] = e
+	s.dirty = true
+	s.log.Info("order to move a service was written again", "service", o.Service, "target", o.Target, "revision", o.Revision)
+	return true
+}
+
+// withinVerdict reports whether e says that an order is running whose verdict was lost
+// when the store was restored. A daemon that did not know the verdict wrote it.
+func (s *state) withinVerdict(e store.Entry) bool {
+	service, status, ok, err := s.decoder.Status(e)
+	if !ok || err != nil {
+		return false
+	}
+	if _, kept := s.keeper.InForce(e.Key); !kept {
+		return false
+	}
+	o, known := s.orders[service], s.statuses[service]
+	final := func(st cutover.State) bool { return st == cutover.Completed || st == cutover.Reverted }
+	return status.Target == known.Target && final(known.State) && !final(status.State) && !o.Open(known)
+}
+
+// expireKept applies the store's content in place of values that stayed in force since it
+// was restored and whose time is over.
+func (s *state) expireKept(now time.Time) {
+	ended := s.keeper.Expire(now)
+	for _, key := range ended {
+		if e, ok := s.entries[key]; ok {
+			s.put(e, now)
+		} else {
+			s.drop(store.Entry{Key: key}, false, now)
+		}
+	}
+	if len(ended) > 0 {
+		s.log.Warn("entries that the restored store lacks were not written again; its content is in force", "keys", ended)
+	}
+}
+
+// cutover returns an order with its status as they are in force. The revision of the
+// status is that of the store's entry, on which a write depends.
+func (s *state) cutover(service string, o cutover.Order) Cutover {
+	c := Cutover{Order: o, Status: s.statuses[service], Evidence: maps.Clone(s.evidence[service])}
+	inStore, statusExists := s.entries[s.statusKeys[service]]
+	ofOrder := c.Status.Target == o.Target && c.Status.Revision >= o.Revision
+	if !ofOrder {
+		c.Status = cutover.Status{}
+	}
+	c.Status.Revision = store.At(store.EraOf(s.revision), 0)
+	if statusExists {
+		c.Status.Revision = inStore.Index
+	}
+	order, orderExists := s.entries[s.orderKeys[service]]
+	_, orderKept := s.keeper.InForce(s.orderKeys[service])
+	_, statusKept := s.keeper.InForce(s.statusKeys[service])
+	c.Unconfirmed = orderKept || !orderExists
+	c.Status.Lost = !c.Unconfirmed && ofOrder && store.EraOf(o.Revision) < store.EraOf(s.revision) && c.Status.State != "" && (statusKept || inStore.Index < order.Index)
+	return c
+}
+
+// contentEntries returns the entries for other daemons. After the store was restored from
+// an older copy, the newest configuration takes the place of the copy's: a daemon that
+// starts meanwhile learns of revoked keys from it.
+func (s *state) contentEntries() []store.Entry {
+	out := make([]store.Entry, 0, len(s.entries)+1)
+	restored := store.EraOf(s.revision) > store.EraOf(s.config.Index)
+	for _, e := range s.entries {
+		if !restored || e.Key != s.config.Key {
+			out = append(out, e)
+		}
+	}
+	if restored && s.config.Key != "" {
+		e := s.config
+		e.Index = max(s.entries[e.Key].Index, store.At(store.EraOf(s.revision), 0))
+		out = append(out, e)
+	}
+	return out
+}
+
 // keepChange keeps a change for the followers. Old changes are dropped in bulk.
 func (s *state) keepChange(c store.Change) {
 	if len(s.recent) >= 2*maxRecentChanges {
@@ -244,6 +413,7 @@
 		return true
 	}
 	s.table = routes.NewTable(c)
+	s.config = e
 	s.dirty = true
 	s.log.Info("configuration in force", "version", c.Version, "revision", e.Index, "routes", len(c.Routes), "accounts", len(c.Accounts))
 	return true
@@ -318,13 +488,13 @@
 			s.log.Warn("move order cannot be read", "revision", e.Index, "cause", err)
 			return true
 		}
-		s.orders[o.Service] = o
+		s.orders[o.Service], s.orderKeys[o.Service] = o, e.Key
 		s.log.Info("order to move a service", "service", o.Service, "target", o.Target, "over", o.TimeLimit, "revision", o.Revision)
 	} else if service, status, ok, err := s.decoder.Status(e); ok {
 		if err != nil {
 			s.log.Warn("status of a move order cannot be read", "service", service, "revision", e.Index, "cause", err)
 		}
-		s.statuses[service] = status
+		s.statuses[service], s.statusKeys[service] = status, e.Key
 		s.log.Info("status of a move order", "service", service, "target", status.Target, "state", status.State, "revision", e.Index)
 	} else if rest, ok := strings.CutPrefix(e.Key, EvidencePrefix); ok {
 		service, daemon, _ := strings.Cut(rest, "/")
@@ -385,6 +555,13 @@
 		return
 	}
 	delete(s.entries, key)
+	s.keeper.Written(key, now)
+	s.drop(e, afterOutage, now)
+}
+
+// drop forgets an entry that is not in force any more.
+func (s *state) drop(e store.Entry, afterOutage bool, now time.Time) {
+	key := e.Key
 	if strings.HasPrefix(key, PeerPrefix) {
 		delete(s.peers, key)
 		s.peersChanged, s.dirty = true, true
@@ -472,7 +649,7 @@
 	// The maps of single services are replaced, not changed.
 	v.Rejected = maps.Clone(s.rejected)
 	for service, o := range s.orders {
-		v.Cutovers[service] = Cutover{Order: o, Status: s.statuses[service], Evidence: maps.Clone(s.evidence[service])}
+		v.Cutovers[service] = s.cutover(service, o)
 	}
 	for _, p := range s.peers {
 		v.Peers = append(v.Peers, p.Name)
--- a/directory/whole.go
+++ b/directory/whole.go
@@ -39,6 +39,11 @@
 // addPage adds a page that was requested at now and reports whether it is the
 // last.
 func (r *snapshotReader) addPage(p store.Page, now time.Time) bool {
+	if r.after != "" && store.EraOf(p.Revision) != store.EraOf(r.revision) {
+		// The store was restored from an older copy since the first page.
+		*r = snapshotReader{mayBeStale: r.mayBeStale, staleAge: r.staleAge}
+		return false
+	}
 	if r.after == "" {
 		// The watch continues from the revision of the first page and thus repeats what
 		// changed while the other pages were read.
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
+	"github.com/gooseberryroad/gooseberryroad/era"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/telemetry"
 )
@@ -36,11 +38,15 @@
 func (e *Edge) publish(ctx context.Context) {
 	t := time.NewTicker(publishInterval)
 	defer t.Stop()
+	var again rewrite
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case now := <-t.C:
+			if again.due(e.StoreEra(), e.follower.View().Ready, now) {
+				e.gateway.PublishAgain()
+			}
 		}
 		for _, w := range e.gateway.PendingCutoverWrites(e.ownRank) {
 			e.gateway.RecordCutoverWrite(w, e.writeCutover(ctx, w))
@@ -50,6 +56,36 @@
 	}
 }
 
+// StoreEra returns the newest era of the store that this daemon has learnt of: from any
+// response of the store or from another daemon.
+func (e *Edge) StoreEra() store.Era { return e.follower.Era() }
+
+// rewrite decides when this daemon writes its entries again because the store was restored
+// from an older copy.
+type rewrite struct {
+	known bool
+	era   store.Era
+	at    time.Time
+}
+
+// due reports whether the entries are to be written again now. The first era that is seen
+// once the directory has been read is that in which they are written anyway.
+func (r *rewrite) due(newest store.Era, ready bool, now time.Time) bool {
+	switch {
+	case !ready:
+		return false
+	case !r.known:
+		r.known, r.era = true, newest
+	case newest > r.era:
+		r.era, r.at = newest, now.Add(rand.N(era.RewriteSpread))
+	}
+	if r.at.IsZero() || now.Before(r.at) {
+		return false
+	}
+	r.at = time.Time{}
+	return true
+}
+
 // publishCrashes writes the numbers of upstreams that each content crashed, if
 // they changed.
 func (e *Edge) publishCrashes(ctx context.Context) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	// them, by service; verdicts holds this daemon's part of it, and rejectedInStore what is
 	// noted in the store.
 	rejected, verdicts, rejectedInStore map[string]cutover.Rejected
+	// unconfirmed says of which services the order is in force although the store lost it.
+	unconfirmed map[string]bool
 	// meters measure the traffic of each service.
 	meters map[string]*cutover.Meter
 	// usualLatency is the moving average of each route's latency: to the complete
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -84,6 +84,10 @@
 		}
 	}
 	g.rejectedInStore = v.Rejected
+	g.unconfirmed = map[string]bool{}
+	for service, seen := range v.Cutovers {
+		g.unconfirmed[service] = seen.Unconfirmed
+	}
 }
 
 // withVerdictLogged calls f, which changes the cutover, and logs if the target
@@ -123,10 +127,15 @@
 	now := time.Now()
 	for service, c := range g.cutovers {
 		w := c.NextWrite(now, rank(service))
+		if g.unconfirmed[service] {
+			w.State = ""
+		}
 		if w.State != "" || w.Evidence != nil {
 			p := PendingWrite{Service: service, Target: c.Order().Target, Write: w, Outcomes: c.Outcomes(now), Unexamined: c.Unexamined(now)}
 			p.Requests, p.TargetRequests = c.RequestsSeen()
-			if rejected := g.rejected[service].After(c.Order(), w.State); !maps.Equal(rejected, g.rejectedInStore[service]) {
+			rejected := g.rejected[service].After(c.Order(), w.State)
+			// A store that lost the status may have lost the reverted versions, too.
+			if !maps.Equal(rejected, g.rejectedInStore[service]) || c.StatusLost() && len(rejected) > 0 {
 				p.Rejected = rejected
 			}
 			out = append(out, p)
@@ -135,6 +144,18 @@
 	return out
 }
 
+// PublishAgain makes everything due that this daemon has published under its lease, because
+// the store lost it when it was restored from an older copy.
+func (g *Gateway) PublishAgain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.cutovers {
+		c.PublishAgain()
+	}
+	g.crashes.PublishAgain()
+	g.partCrashes.PublishAgain()
+}
+
 // RecordCutoverWrite notes whether the store accepted a pending write.
 func (g *Gateway) RecordCutoverWrite(w PendingWrite, ok bool) {
 	g.mu.Lock()
--- a/quarantine/crashlog.go
+++ b/quarantine/crashlog.go
@@ -185,6 +185,13 @@
 	l.dirty = true
 }
 
+// PublishAgain makes the counts due that were published, because the store lost them.
+func (l *CrashLog) PublishAgain() {
+	for _, e := range l.entries {
+		l.dirty = l.dirty || e.ownCrash
+	}
+}
+
 // expire forgets contents whose last crash is older than Memory. If this daemon
 // published one of them, the next publication leaves it out.
 func (l *CrashLog) expire(now time.Time) {
--- a/quarantine/partlog.go
+++ b/quarantine/partlog.go
@@ -348,6 +348,11 @@
 	l.dirty = true
 }
 
+// PublishAgain makes the report due that was published, because the store lost it.
+func (l *PartLog) PublishAgain() {
+	l.dirty = l.dirty || len(l.own) > 0 || len(l.publishedSound) > 0
+}
+
 // expire forgets old crashes.
 func (l *PartLog) expire(now time.Time) {
 	old := func(c partCrash) bool { return now.Sub(c.at) >= l.o.Memory }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -33,6 +34,16 @@
 	// StartUnixMilli is the start of the process in Unix milliseconds; 0 is unknown.
 	// An upstream that starts again under the same ID has another value.
 	StartUnixMilli int64
+	// Sequence rises with each registration of a process; 0 is unknown.
+	Sequence uint64
+}
+
+// process returns what tells one run of an upstream from others under its ID.
+func (in Instance) process() process { return process{in.ID, in.StartUnixMilli} }
+
+type process struct {
+	id             string
+	startUnixMilli int64
 }
 
 type entry struct {
@@ -54,10 +65,50 @@
 	// recoveredAt is when the store last became available again.
 	recoveredAt time.Time
 	changed     bool
+	// drained holds the sequences of the processes that were draining when the store was
+	// restored from an older copy.
+	drained map[process]uint64
 }
 
 // New returns an empty registry.
-func New() *Registry { return &Registry{entries: map[string]*entry{}, byAddress: map[string]string{}} }
+func New() *Registry {
+	return &Registry{entries: map[string]*entry{}, byAddress: map[string]string{}, drained: map[process]uint64{}}
+}
+
+// StoreRestored records that the store was restored from an older copy: upstreams whose
+// entries are missing from it have time to register again, as after an outage, and those
+// that are draining stay so although the copy has an older registration of theirs. It
+// returns the IDs of the draining ones.
+func (r *Registry) StoreRestored(now time.Time) []string {
+	r.storeDown, r.recoveredAt = false, now
+	var ids []string
+	for id, e := range r.entries {
+		if e.Draining {
+			r.drained[e.process()] = max(r.drained[e.process()], e.Sequence)
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// asDrained returns the registration as it takes effect: a process that was draining when
+// the store was restored drains until it registers with a higher sequence.
+func (r *Registry) asDrained(in Instance) Instance {
+	sequence, ok := r.drained[in.process()]
+	switch {
+	case !ok || in.Draining:
+		// A draining registration ends nothing, also one of a higher sequence.
+		if ok {
+			r.drained[in.process()] = max(sequence, in.Sequence)
+		}
+	case in.Sequence > sequence:
+		delete(r.drained, in.process())
+	default:
+		in.Draining = true
+	}
+	return in
+}
 
 // StoreUnavailable records that the store does not answer.
 func (r *Registry) StoreUnavailable() { r.storeDown = true }
@@ -95,9 +146,21 @@
 
 // Put adds or replaces an entry.
 func (r *Registry) Put(in Instance) {
+	in = r.asDrained(in)
+	for p := range r.drained {
+		if p.id == in.ID && p != in.process() {
+			delete(r.drained, p)
+		}
+	}
 	old := r.entries[in.ID]
-	if old != nil && old.Instance == in && !old.lapsed {
-		return
+	if old != nil && !old.lapsed {
+		same := in
+		same.Sequence = old.Sequence
+		if old.Instance == same {
+			// The sequence alone changes nothing for those that use the upstream.
+			old.Sequence = in.Sequence
+			return
+		}
 	}
 	// An address belongs to one process: the upstream that had it before is gone,
 	// even if its lease has not ended. An older start does not replace a newer one.
@@ -126,6 +189,9 @@
 	}
 	delete(r.entries, id)
 	r.changed = true
+	if !r.NearOutage(now) {
+		maps.DeleteFunc(r.drained, func(p process, _ uint64) bool { return p.id == id })
+	}
 }
 
 // RemoveAfterOutage records that an entry was removed at a time when the store was
@@ -162,6 +228,10 @@
 	}
 	var dropped []string
 	graceOver := !r.NearOutage(confirmed)
+	if graceOver {
+		// An upstream that has not registered again by then has left.
+		maps.DeleteFunc(r.drained, func(p process, _ uint64) bool { return r.entries[p.id] == nil })
+	}
 	for id, e := range r.entries {
 		if e.lapsed && (graceOver || !e.usedUntil.IsZero() && !confirmed.Before(e.usedUntil)) {
 			delete(r.entries, id)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -40,6 +40,8 @@
 	return nil, after, ctx.Err()
 }
 
+func (fixedStore) Era() store.Era                                       { return 0 }
+func (fixedStore) NoteEra(store.Era)                                    {}
 func (fixedStore) Grant(context.Context, time.Duration) (uint64, error) { return 1, nil }
 func (fixedStore) PutLeased(context.Context, string, []byte, uint64) error {
 	return nil
