eras: removed entries stay removed, daemons that start learn the newest configuration, soak restores

Cause: an order that was removed after the copy was made came back with it; a daemon that started between the restore and the operator's write accepted revoked keys; a removal of an entry that the restored store lacks had no effect.

Change: era.Keeper remembers removals for a minute. In an era above 0 a daemon asks other daemons for their configuration before it takes requests, and the relay passes on the newest one. Logs show indexes as era/revision.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -52,14 +52,17 @@
 	writes int
 	// staleBy is how many of the last changes a page that may be stale lacks.
 	staleBy int
-	// era is the newest era that any client knows.
-	era store.Era
+	// era is the store's era, and eras hold the newest one that each client knows.
+	era  store.Era
+	eras map[string]store.Era
+	// pages counts the pages that were read.
+	pages int
 	// allowed decides whether a call is served; nil serves all.
 	allowed func() bool
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{revision: 10, entries: map[string]store.Entry{}, changed: make(chan struct{}), unavailable: map[string]bool{}, silentTo: map[string]bool{}}
+	return &memoryStore{revision: 10, entries: map[string]store.Entry{}, changed: make(chan struct{}), unavailable: map[string]bool{}, silentTo: map[string]bool{}, eras: map[string]store.Era{}}
 }
 
 func (m *memoryStore) put(key, value string) {
@@ -132,7 +135,9 @@
 	if c.allowed != nil && !c.allowed() {
 		return store.Page{}, store.ErrUnavailable
 	}
-	page := store.Page{Revision: c.revision}
+	c.pages++
+	c.eras[c.name] = max(c.eras[c.name], c.era)
+	page := store.Page{Revision: store.At(c.era, c.revision)}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
 		if key <= after {
 			continue
@@ -140,7 +145,7 @@
 		if page.More = len(page.Entries) == pageEntries; page.More {
 			break
 		}
-		page.Entries = append(page.Entries, c.entries[key])
+		page.Entries = append(page.Entries, c.inEra(c.entries[key]))
 	}
 	return page, nil
 }
@@ -181,19 +186,20 @@
 			c.mu.Unlock()
 			return nil, 0, store.ErrUnavailable
 		}
-		if after < c.compactedAt {
+		c.eras[c.name] = max(c.eras[c.name], c.era)
+		if store.EraOf(after) != c.era || store.RevisionOf(after) < c.compactedAt {
 			c.mu.Unlock()
 			return nil, 0, store.ErrCompacted
 		}
 		var out []store.Change
 		for _, ch := range c.changes {
-			if ch.Index > after {
-				out = append(out, ch)
+			if ch.Index > store.RevisionOf(after) {
+				out = append(out, store.Change{Entry: c.inEra(ch.Entry), Deleted: ch.Deleted})
 			}
 		}
 		if len(out) > 0 {
 			defer c.mu.Unlock()
-			return out, c.revision, nil
+			return out, store.At(c.era, c.revision), nil
 		}
 		changed := c.changed
 		c.mu.Unlock()
@@ -218,13 +224,36 @@
 func (c storeClient) Era() store.Era {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.era
+	return c.eras[c.name]
 }
 
 func (c storeClient) NoteEra(e store.Era) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.era = max(c.era, e)
+	c.eras[c.name] = max(c.eras[c.name], e)
+}
+
+// inEra returns an entry with the index of the store's era.
+func (m *memoryStore) inEra(e store.Entry) store.Entry {
+	e.Index = store.At(m.era, e.Index)
+	return e
+}
+
+// restore makes the store return to its content at a revision in a new era.
+func (m *memoryStore) restore(revision uint64, entries map[string]store.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.revision, m.compactedAt, m.entries, m.changes = revision, revision, maps.Clone(entries), nil
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// copied returns what restore needs to return to the present content.
+func (m *memoryStore) copied() (uint64, map[string]store.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision, maps.Clone(m.entries)
 }
 
 func (c storeClient) countWrite() {
@@ -281,14 +310,24 @@
 	mu          sync.Mutex
 	followers   map[string]*directory.Follower
 	unreachable map[string]bool
-	// silent daemons do not answer.
+	// silent daemons do not answer, and fixed ones have the same answer after each wait.
 	silent map[string]bool
+	fixed  map[string]directory.Update
 }
 
 func (m *memoryRelay) Fetch(ctx context.Context, address string, after uint64, wait, slack time.Duration) (directory.Update, error) {
 	m.mu.Lock()
 	f, cut, silent := m.followers[address], m.unreachable[address], m.silent[address]
+	fixed, isFixed := m.fixed[address]
 	m.mu.Unlock()
+	if isFixed {
+		select {
+		case <-time.After(wait):
+			return fixed, nil
+		case <-ctx.Done():
+			return directory.Update{}, ctx.Err()
+		}
+	}
 	if silent {
 		select {
 		case <-time.After(wait + slack):
@@ -669,6 +708,125 @@
 		Expect(time.Since(changed)).To(BeNumerically("<", 2*time.Second))
 	})
 
+	upstreamIDs := func(f *directory.Follower) func() []string {
+		return func() []string {
+			var ids []string
+			for _, in := range f.View().All {
+				ids = append(ids, in.ID)
+			}
+			return ids
+		}
+	}
+	contentEra := func(f *directory.Follower) func() store.Era {
+		return func() store.Era { return store.EraOf(f.Content().Revision) }
+	}
+
+	// Guards against hundreds of daemons that read a restored store at once, and against
+	// daemons that keep to the copy or to the lost content.
+	It("reads a restored store once for all daemons of a data centre", func() {
+		var all []*directory.Follower
+		for i := range 30 {
+			all = append(all, start(fmt.Sprint("d", i)))
+		}
+		for _, f := range all {
+			Eventually(func() int { return f.View().Daemons }, "15s").Should(Equal(30))
+		}
+		revision, entries := st.copied()
+		st.put("config", `{"Version": 9}`)
+		st.put("up/b", "tags")
+		for _, f := range all {
+			Eventually(version(f), "3s").Should(BeEquivalentTo(9))
+			Eventually(upstreamIDs(f), "3s").Should(Equal([]string{"a", "b"}))
+		}
+		st.mu.Lock()
+		pages := st.pages
+		st.mu.Unlock()
+		for key := range entries {
+			if strings.HasPrefix(key, directory.PeerPrefix) {
+				delete(entries, key)
+			}
+		}
+		st.restore(revision, entries)
+		restored := time.Now()
+		for _, f := range all {
+			Eventually(contentEra(f), "3s", "5ms").Should(BeEquivalentTo(1))
+			Expect(version(f)()).To(BeEquivalentTo(9))
+			Expect(upstreamIDs(f)()).To(Equal([]string{"a", "b"}), "it has time to register again")
+			Expect(f.View().Daemons).To(Equal(30), "the daemons' registrations are lost, not the daemons")
+		}
+		Expect(time.Since(restored)).To(BeNumerically("<", 2*time.Second))
+		st.mu.Lock()
+		pages = st.pages - pages
+		st.mu.Unlock()
+		Expect(pages).To(Equal(1), "pages read by all daemons")
+		st.put("up/c", "tags")
+		for _, f := range all {
+			Eventually(upstreamIDs(f), "5s").Should(Equal([]string{"a", "c"}), "one that does not register again is gone")
+			Expect(version(f)()).To(BeEquivalentTo(9))
+		}
+		// The registrations come again within 5 s.
+		Eventually(func() int {
+			n := 0
+			_, entries := st.copied()
+			for key := range entries {
+				if strings.HasPrefix(key, directory.PeerPrefix) {
+					n++
+				}
+			}
+			return n
+		}, "8s").Should(Equal(30))
+	})
+
+	// Guards against a daemon that goes on with lost content because the store does not answer
+	// it: it learns the era from another daemon.
+	It("learns of a restored store from another daemon", func() {
+		first, second := start("d1"), start("d2", "d1")
+		for _, f := range []*directory.Follower{first, second} {
+			Eventually(func() int { return f.View().Daemons }, "6s").Should(Equal(2))
+		}
+		revision, entries := st.copied()
+		for i := range 20 {
+			st.put("up/b", fmt.Sprint("tags", i))
+		}
+		st.put("config", `{"Version": 3}`)
+		Eventually(version(second), "3s").Should(BeEquivalentTo(3))
+		st.setUnavailable("d2", true)
+		st.restore(revision, entries)
+		Eventually(contentEra(second), "6s").Should(BeEquivalentTo(1))
+		Expect(second.Era()).To(BeEquivalentTo(1))
+		Expect(version(second)()).To(BeEquivalentTo(3))
+		st.put("config", `{"Version": 4}`)
+		Eventually(version(second), "6s").Should(BeEquivalentTo(4))
+	})
+
+	// Guards against content of the older era that another daemon still passes on: this one
+	// knows the newer era from a response to a write.
+	It("ignores the content of daemons that do not know the newest era yet", func() {
+		names := []string{"d1", "d2"}
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Compare(membership.RendezvousWeight("x", b), membership.RendezvousWeight("x", a))
+		})
+		watching, following := start(names[0]), start(names[1])
+		for _, f := range []*directory.Follower{watching, following} {
+			Eventually(func() int { return f.View().Daemons }, "6s").Should(Equal(2))
+		}
+		revision, entries := st.copied()
+		st.put("config", `{"Version": 3}`)
+		Eventually(version(following), "3s").Should(BeEquivalentTo(3))
+		// An older version of this system knows no eras, and a daemon that runs it confirms the
+		// lost content.
+		relay.mu.Lock()
+		relay.fixed = map[string]directory.Update{names[0]: {Revision: watching.Content().Revision, UpToDate: true}}
+		relay.mu.Unlock()
+		st.setSilentTo(names[0], true)
+		st.restore(revision, entries)
+		storeClient{st, names[1]}.NoteEra(1)
+		Eventually(contentEra(following), "4s").Should(BeEquivalentTo(1))
+		Expect(version(following)()).To(BeEquivalentTo(3))
+		st.put("up/z", "tags")
+		Eventually(upstreamIDs(following), "4s").Should(ContainElement("z"))
+	})
+
 	// The number of calls to the store must not grow with the number of daemons.
 	It("lets one daemon of a data centre watch the store for all", func() {
 		var all []*directory.Follower
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -118,6 +118,9 @@
 	RecoveryRevision uint64
 }
 
+// Era returns the era of the update's revision.
+func (u Update) Era() store.Era { return store.EraOf(u.Revision) }
+
 // Options configure a Follower.
 type Options struct {
 	Store   Store
@@ -145,6 +148,8 @@
 	// an outage; they are zero during it.
 	recoveredAt      time.Time
 	recoveryRevision uint64
+	// config is the version of the configuration in force, in a store that tells an era.
+	config int64
 	// confirmation is shared by all contents of a follower, because it changes with
 	// each answer of the source.
 	confirmation *atomic.Pointer[confirmation]
@@ -163,6 +168,10 @@
 	return time.Since(c.confirmation.Load().at)
 }
 
+// SameConfig reports whether the content passes on the same configuration as other. In a
+// store that tells no era, the configuration only changes with the revision.
+func (c *Content) SameConfig(other *Content) bool { return c.config == other.config }
+
 // UpToDate reports whether the daemon's own source works and the store confirmed
 // the content lately.
 func (c *Content) UpToDate() bool { return c.sourceWorking && c.Age() < c.maxAge }
@@ -346,6 +355,9 @@
 
 func (f *Follower) nextQuery(s *state, c *sources.Chooser) query {
 	now := time.Now()
+	if s.mustAskOthers() {
+		return query{source: sources.Source{Kind: sources.AskPeers}, peers: f.otherAddresses(s), until: now}
+	}
 	c.Confirmed(s.confirmedAt)
 	restored := s.loaded && f.Era() > store.EraOf(s.revision)
 	q := query{
@@ -377,22 +389,27 @@
 	now := time.Now()
 	switch o.query.source.Kind {
 	case sources.AskPeers:
+		if s.mustAskOthers() {
+			// Versions of the configuration are the same in all eras.
+			s.takeNewerConfig(o.update.Entries)
+			s.othersAsked, s.dirty = true, true
+		}
 		if o.err == nil {
 			f.applyPeerUpdate(s, o.update, now)
 		}
 	case sources.Follow:
 		name := o.query.source.Peer.Name
 		if o.err != nil {
-			f.options.Logger.Warn("followed daemon lost", "daemon", name, "revision", s.revision, "cause", o.err)
+			f.options.Logger.Warn("followed daemon lost", "daemon", name, "revision", store.Shown(s.revision), "cause", o.err)
 			c.PeerFailed(name, now)
 			return
 		}
 		// Until a daemon knows the newest era, another one may pass on its content earlier.
-		if store.EraOf(o.update.Revision) < f.Era() {
+		if o.update.Era() < f.Era() {
 			o.update.UpToDate = false
 		}
 		if !o.update.UpToDate {
-			f.options.Logger.Info("followed daemon does not see the store", "daemon", name, "revision", s.revision, "age", o.update.Age)
+			f.options.Logger.Info("followed daemon does not see the store", "daemon", name, "revision", store.Shown(s.revision), "age", o.update.Age)
 		}
 		c.PeerAnswered(name, o.update.UpToDate, now)
 		f.applyPeerUpdate(s, o.update, now)
@@ -406,26 +423,26 @@
 func (f *Follower) handleStoreOutcome(s *state, c *sources.Chooser, o outcome, now time.Time) {
 	switch {
 	case errors.Is(o.err, store.ErrCompacted):
-		f.options.Logger.Info("store compacted its history; reading a snapshot", "revision", s.revision)
+		f.options.Logger.Info("store compacted its history; reading a snapshot", "revision", store.Shown(s.revision))
 		c.StoreAnswered()
 		s.compacted = true
 		return
 	case errors.Is(o.err, store.ErrOlderEra):
 		// The store is not away. The next call is delayed, so that a store which answers in
 		// turns from two eras is not asked without a pause.
-		f.options.Logger.Info("response of an older era of the store ignored", "era", f.Era(), "revision", s.revision)
+		f.options.Logger.Info("response of an older era of the store ignored", "era", f.Era(), "revision", store.Shown(s.revision))
 		c.StoreFailed()
 		return
 	case o.err != nil:
 		if s.storeReachable {
-			f.options.Logger.Warn("store lost", "revision", s.revision, "cause", o.err)
+			f.options.Logger.Warn("store lost", "revision", store.Shown(s.revision), "cause", o.err)
 		}
 		c.StoreFailed()
 		s.storeFailed(now)
 		return
 	}
 	if !s.storeReachable {
-		f.options.Logger.Info("store seen", "revision", o.update.Revision)
+		f.options.Logger.Info("store seen", "revision", store.Shown(o.update.Revision))
 	}
 	c.StoreAnswered()
 	if s.registry.StoreAvailable(now) {
@@ -438,11 +455,14 @@
 
 // applyPeerUpdate applies what another daemon knows, if it is newer.
 func (f *Follower) applyPeerUpdate(s *state, u Update, now time.Time) {
-	if store.EraOf(u.Revision) < f.Era() {
+	if u.Era() < f.Era() {
 		metrics.GetOrCreateCounter(`gooseberryroad_store_older_era_responses_total{source="daemon"}`).Inc()
 		return
 	}
-	f.options.Store.NoteEra(store.EraOf(u.Revision))
+	f.options.Store.NoteEra(u.Era())
+	if !s.loaded {
+		s.othersAsked = true
+	}
 	if at := now.Add(-u.Age); at.After(s.confirmedAt) && (!s.loaded || u.Revision >= s.revision) {
 		s.confirmedAt = at
 	}
@@ -484,13 +504,17 @@
 	}
 	old := f.content.Load()
 	nearOutage := s.registry.NearOutage(confirmed)
-	if !s.loaded || old.Revision == s.revision && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
+	config := int64(0)
+	if store.EraOf(s.revision) > 0 && s.table != nil {
+		config = s.table.Version()
+	}
+	if !s.loaded || old.Revision == s.revision && old.config == config && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
 		f.confirm(confirmed)
 		return
 	}
 	next := &Content{
 		recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision, sourceWorking: s.sourceWorking, nearOutage: nearOutage,
-		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision,
+		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision, config: config,
 		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: s.contentEntries(),
 	}
 	f.content.Store(next)
--- a/directory/state.go
+++ b/directory/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -123,8 +124,11 @@
 	// is in force in their place since the store was restored from an older copy.
 	entries map[string]store.Entry
 	keeper  era.Keeper
-	// config is the entry of the newest configuration that was read.
-	config store.Entry
+	// config is the entry of the newest configuration that was read. othersAsked says that
+	// other daemons were asked for a newer one: a store that tells an era may have been
+	// restored from an older copy right before this daemon read it.
+	config      store.Entry
+	othersAsked bool
 	// orderKeys and statusKeys hold the keys of the orders and statuses by service.
 	orderKeys, statusKeys map[string]string
 	revision              uint64
@@ -178,7 +182,7 @@
 // snapshot that is older than the known revision is ignored.
 func (s *state) applySnapshot(entries []store.Entry, revision uint64, now time.Time) {
 	if s.loaded && revision < s.revision {
-		s.log.Info("store content of an older revision ignored", "revision", revision, "known", s.revision)
+		s.log.Info("store content of an older revision ignored", "revision", store.Shown(revision), "known", store.Shown(s.revision))
 		return
 	}
 	if s.loaded && store.EraOf(revision) > store.EraOf(s.revision) {
@@ -224,6 +228,7 @@
 // applyRestored replaces all entries by those of a store that was restored from an older
 // copy, except for what stays in force until it was written again.
 func (s *state) applyRestored(entries []store.Entry, revision uint64, now time.Time) {
+	s.othersAsked = true
 	draining := s.registry.StoreRestored(now)
 	s.recoveryRevision = revision
 	plan := s.keeper.Restored(s.entries, entries, s.classOf, now)
@@ -249,9 +254,10 @@
 	if s.table != nil {
 		version = s.table.Version()
 	}
+	keptByKey := slices.DeleteFunc(slices.Clone(plan.Kept), isLeased)
 	s.log.Warn("store was restored from an older copy", "era", store.EraOf(revision), "previous_era", store.EraOf(s.revision),
 		"revision", store.RevisionOf(revision), "previous_revision", store.RevisionOf(s.revision), "configuration", version,
-		"kept", plan.Kept, "draining", draining, "lapsed", len(plan.Remove))
+		"kept", keptByKey, "kept_of_daemons", len(plan.Kept)-len(keptByKey), "draining", draining, "lapsed", len(plan.Remove))
 }
 
 // classOf returns how long the value of a key stays in force after the store was restored
@@ -270,12 +276,17 @@
 	switch {
 	case strings.HasPrefix(key, RejectedPrefix):
 		return era.Lasting
-	case strings.HasPrefix(key, PeerPrefix), strings.HasPrefix(key, CrashPrefix), strings.HasPrefix(key, PartPrefix), strings.HasPrefix(key, EvidencePrefix):
+	case isLeased(key):
 		return era.Brief
 	}
 	return era.Immediate
 }
 
+// isLeased reports whether a daemon writes the key under its lease.
+func isLeased(key string) bool {
+	return strings.HasPrefix(key, PeerPrefix) || strings.HasPrefix(key, CrashPrefix) || strings.HasPrefix(key, PartPrefix) || strings.HasPrefix(key, EvidencePrefix)
+}
+
 // write applies a write of the store.
 func (s *state) write(e store.Entry, now time.Time) {
 	if s.withinVerdict(e) {
@@ -300,7 +311,7 @@
 	}
 	s.entries[e.Key] = e
 	s.dirty = true
-	s.log.Info("order to move a service was written again", "service", o.Service, "target", o.Target, "revision", o.Revision)
+	s.log.Info("order to move a service was written again", "service", o.Service, "target", o.Target, "revision", store.Shown(o.Revision))
 	return true
 }
 
@@ -356,18 +367,18 @@
 	return c
 }
 
-// contentEntries returns the entries for other daemons. After the store was restored from
-// an older copy, the newest configuration takes the place of the copy's: a daemon that
-// starts meanwhile learns of revoked keys from it.
+// contentEntries returns the entries for other daemons. In a store that may have been
+// restored from an older copy, the newest configuration takes the place of the copy's: a
+// daemon that starts meanwhile learns of revoked keys from it.
 func (s *state) contentEntries() []store.Entry {
 	out := make([]store.Entry, 0, len(s.entries)+1)
-	restored := store.EraOf(s.revision) > store.EraOf(s.config.Index)
+	newestConfig := store.EraOf(s.revision) > 0 && s.config.Key != ""
 	for _, e := range s.entries {
-		if !restored || e.Key != s.config.Key {
+		if !newestConfig || e.Key != s.config.Key {
 			out = append(out, e)
 		}
 	}
-	if restored && s.config.Key != "" {
+	if newestConfig {
 		e := s.config
 		e.Index = max(s.entries[e.Key].Index, store.At(store.EraOf(s.revision), 0))
 		out = append(out, e)
@@ -375,6 +386,17 @@
 	return out
 }
 
+// takeNewerConfig puts the configuration of another daemon in force if it is newer than
+// the one that is known.
+func (s *state) takeNewerConfig(entries []store.Entry) {
+	for _, e := range entries {
+		c, ok, err := s.decoder.Config(e)
+		if ok && err == nil && s.table != nil && c.Version > s.table.Version() {
+			s.putConfig(e)
+		}
+	}
+}
+
 // keepChange keeps a change for the followers. Old changes are dropped in bulk.
 func (s *state) keepChange(c store.Change) {
 	if len(s.recent) >= 2*maxRecentChanges {
@@ -405,7 +427,7 @@
 		return false
 	}
 	if err != nil {
-		s.log.Error("configuration cannot be read; the current one stays in force", "revision", e.Index, "cause", err)
+		s.log.Error("configuration cannot be read; the current one stays in force", "revision", store.Shown(e.Index), "cause", err)
 		return true
 	}
 	if s.table != nil && c.Version < s.table.Version() {
@@ -415,7 +437,7 @@
 	s.table = routes.NewTable(c)
 	s.config = e
 	s.dirty = true
-	s.log.Info("configuration in force", "version", c.Version, "revision", e.Index, "routes", len(c.Routes), "accounts", len(c.Accounts))
+	s.log.Info("configuration in force", "version", c.Version, "revision", store.Shown(e.Index), "routes", len(c.Routes), "accounts", len(c.Accounts))
 	return true
 }
 
@@ -425,13 +447,13 @@
 		return false
 	}
 	if err != nil {
-		s.log.Warn("registration of an upstream cannot be read", "upstream", in.ID, "revision", e.Index, "cause", err)
+		s.log.Warn("registration of an upstream cannot be read", "upstream", in.ID, "revision", store.Shown(e.Index), "cause", err)
 		s.registry.Remove(in.ID, now)
 		return true
 	}
 	s.registry.Put(in)
 	s.log.Info("upstream registered", "upstream", in.ID, "service", in.Service, "data_centre", in.DataCentre,
-		"version", in.Version, "draining", in.Draining, "revision", e.Index)
+		"version", in.Version, "draining", in.Draining, "revision", store.Shown(e.Index))
 	return true
 }
 
@@ -485,17 +507,17 @@
 func (s *state) putCutover(e store.Entry) bool {
 	if o, ok, err := s.decoder.Order(e); ok {
 		if err != nil {
-			s.log.Warn("move order cannot be read", "revision", e.Index, "cause", err)
+			s.log.Warn("move order cannot be read", "revision", store.Shown(e.Index), "cause", err)
 			return true
 		}
 		s.orders[o.Service], s.orderKeys[o.Service] = o, e.Key
-		s.log.Info("order to move a service", "service", o.Service, "target", o.Target, "over", o.TimeLimit, "revision", o.Revision)
+		s.log.Info("order to move a service", "service", o.Service, "target", o.Target, "over", o.TimeLimit, "revision", store.Shown(o.Revision))
 	} else if service, status, ok, err := s.decoder.Status(e); ok {
 		if err != nil {
-			s.log.Warn("status of a move order cannot be read", "service", service, "revision", e.Index, "cause", err)
+			s.log.Warn("status of a move order cannot be read", "service", service, "revision", store.Shown(e.Index), "cause", err)
 		}
 		s.statuses[service], s.statusKeys[service] = status, e.Key
-		s.log.Info("status of a move order", "service", service, "target", status.Target, "state", status.State, "revision", e.Index)
+		s.log.Info("status of a move order", "service", service, "target", status.Target, "state", status.State, "revision", store.Shown(e.Index))
 	} else if rest, ok := strings.CutPrefix(e.Key, EvidencePrefix); ok {
 		service, daemon, _ := strings.Cut(rest, "/")
 		var ev cutover.Evidence
@@ -522,12 +544,12 @@
 	}
 	var versions cutover.Rejected
 	if err := json.Unmarshal(e.Value, &versions); err != nil {
-		s.log.Warn("reverted versions cannot be read", "service", service, "revision", e.Index, "cause", err)
+		s.log.Warn("reverted versions cannot be read", "service", service, "revision", store.Shown(e.Index), "cause", err)
 		return true
 	}
 	s.rejected[service] = versions
 	s.dirty = true
-	s.log.Info("reverted versions", "service", service, "versions", versions, "revision", e.Index)
+	s.log.Info("reverted versions", "service", service, "versions", versions, "revision", store.Shown(e.Index))
 	return true
 }
 
@@ -551,11 +573,17 @@
 // the last outage when it removed the entry.
 func (s *state) remove(key string, afterOutage bool, now time.Time) {
 	e, known := s.entries[key]
-	if !known {
+	if _, kept := s.keeper.InForce(key); !known && !kept {
 		return
+	} else if !known {
+		// The restored store lacks it, and its owner removes it nevertheless.
+		e.Key = key
 	}
 	delete(s.entries, key)
 	s.keeper.Written(key, now)
+	if known {
+		s.keeper.Removed(e, now)
+	}
 	s.drop(e, afterOutage, now)
 }
 
@@ -624,7 +652,7 @@
 // when the store last confirmed the content.
 func (s *state) view(confirmed time.Time) (*View, bool) {
 	if dropped := s.registry.ExpireLapsed(confirmed); len(dropped) > 0 {
-		s.log.Info("removed upstreams are used no longer", "upstreams", dropped, "revision", s.revision)
+		s.log.Info("removed upstreams are used no longer", "upstreams", dropped, "revision", store.Shown(s.revision))
 	}
 	if !s.registry.TakeChanged() && !s.dirty {
 		return nil, false
@@ -636,7 +664,7 @@
 		All:       s.registry.Instances(),
 		Daemons:   max(len(s.peers), 1),
 		Revision:  s.revision,
-		Ready:     s.loaded && s.table != nil,
+		Ready:     s.loaded && s.table != nil && !s.mustAskOthers(),
 		Cutovers:  map[string]Cutover{},
 		Crashes:   map[quarantine.Hash]int{},
 	}
@@ -662,6 +690,12 @@
 	return v, true
 }
 
+// mustAskOthers reports whether other daemons have to be asked for a newer configuration
+// before this one is used.
+func (s *state) mustAskOthers() bool {
+	return s.loaded && !s.othersAsked && store.EraOf(s.revision) > 0
+}
+
 // peerList returns the registered daemons.
 func (s *state) peerList() []sources.Peer {
 	out := make([]sources.Peer, 0, len(s.peers))
--- a/era/era.go
+++ b/era/era.go
@@ -40,8 +40,9 @@
 }
 
 type kept struct {
-	// value is in force in place of what the store holds.
-	value store.Entry
+	// value is in force in place of what the store holds. absent says that nothing is.
+	value  store.Entry
+	absent bool
 	// until is zero for a value without a time limit.
 	until time.Time
 }
@@ -54,12 +55,27 @@
 	// since, until the time that follows.
 	continuing map[string]store.Entry
 	until      time.Time
+	// removed holds entries that were removed, which the copy may hold.
+	removed map[string]removal
 }
 
+type removal struct {
+	revision uint64
+	at       time.Time
+}
+
+const (
+	// maxCopyAge is more than the age of a copy to which the store returns, which is some
+	// seconds. Removals are remembered for that long.
+	maxCopyAge = time.Minute
+	// minForget is the number of remembered removals from which old ones are forgotten.
+	minForget = 1024
+)
+
 // InForce returns the value that is in force in place of the store's.
 func (k *Keeper) InForce(key string) (store.Entry, bool) {
 	v, ok := k.kept[key]
-	return v.value, ok
+	return v.value, ok && !v.absent
 }
 
 // Restored compares what was known before a restore with the first content read after it.
@@ -68,7 +84,11 @@
 func (k *Keeper) Restored(known map[string]store.Entry, content []store.Entry, classOf func(key string) Class, now time.Time) Plan {
 	inForce := maps.Clone(known)
 	for key, v := range k.kept {
-		inForce[key] = v.value
+		if v.absent {
+			delete(inForce, key)
+		} else {
+			inForce[key] = v.value
+		}
 	}
 	found := make(map[string]store.Entry, len(content))
 	for _, e := range content {
@@ -88,6 +108,9 @@
 		e, class := found[key], classOf(key)
 		old, ok := inForce[key]
 		switch {
+		case !ok && k.removedBefore(e, now):
+			k.kept[key] = kept{absent: true, until: k.until}
+			p.Kept = append(p.Kept, key)
 		case !ok || class == Immediate:
 			p.Put = append(p.Put, e)
 		case bytes.Equal(old.Value, e.Value):
@@ -160,6 +183,24 @@
 	return before, first && now.Before(k.until)
 }
 
+// Removed records that an entry was removed from the store. A copy that holds it does not
+// bring it back for KeepFor.
+func (k *Keeper) Removed(e store.Entry, now time.Time) {
+	if k.removed == nil {
+		k.removed = map[string]removal{}
+	}
+	if len(k.removed) >= minForget {
+		maps.DeleteFunc(k.removed, func(_ string, r removal) bool { return now.Sub(r.at) >= maxCopyAge })
+	}
+	k.removed[e.Key] = removal{store.RevisionOf(e.Index), now}
+}
+
+// removedBefore reports whether e is the entry of a key that was removed before a restore.
+func (k *Keeper) removedBefore(e store.Entry, now time.Time) bool {
+	r, ok := k.removed[e.Key]
+	return ok && r.revision == store.RevisionOf(e.Index) && now.Sub(r.at) < maxCopyAge
+}
+
 // Expire ends the values whose time is over, and returns their keys in order.
 func (k *Keeper) Expire(now time.Time) []string {
 	var ended []string
--- a/era/era_test.go
+++ b/era/era_test.go
@@ -202,3 +202,33 @@
 		}
 	})
 }
+
+// Guards against an order that is carried out again because the operator had removed it
+// after the copy was made, and against a new order that is taken for it.
+func TestRemovedValuesDoNotComeBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		found  store.Entry
+		absent bool
+	}{
+		"the copy's order": {entry(2, "brief/order", "v2", 450), true},
+		"a new order":      {entry(2, "brief/order", "v3", 471), false},
+	} {
+		var k era.Keeper
+		k.Removed(entry(1, "brief/order", "v2", 450), start)
+		k.Removed(entry(1, "up/2", "ready", 460), start)
+		known := byKey(entry(1, "up/1", "ready", 400))
+		for round := range 2 {
+			left := entry(store.Era(round+2), "up/2", "ready", 460)
+			p := k.Restored(known, []store.Entry{c.found, left}, classOf, start.Add(time.Duration(round)*time.Second))
+			if took := len(p.Put) == 1; took == c.absent && round == 0 {
+				t.Errorf("%s takes effect: %v", name, took)
+			}
+			known = byKey(c.found, left)
+			c.found.Index = store.At(3, store.RevisionOf(c.found.Index))
+		}
+		ended := k.Expire(start.Add(time.Second + era.KeepFor))
+		if slices.Contains(ended, "brief/order") != c.absent || !slices.Contains(ended, "up/2") {
+			t.Errorf("%s: ended %v", name, ended)
+		}
+	}
+}
--- a/soak/act.go
+++ b/soak/act.go
@@ -62,6 +62,11 @@
 		}
 		s.injectDaemonFaults(ctx, f, f.Target)
 	case StoreServer:
+		if f.Kind == RestoreCopy {
+			s.restoreStore(ctx, f)
+			recordFault(StoreServer, 0)
+			return
+		}
 		if f.Kind == ExpireRegistrations {
 			s.expireRegistrations(ctx, f)
 			recordFault(StoreServer, 0)
@@ -128,6 +133,16 @@
 	}
 }
 
+// restoreStore makes the store return to a copy as old as the fault is long. Upstreams and
+// the operator write again what was lost within the time that the users state.
+func (s *Soak) restoreStore(ctx context.Context, f Fault) {
+	older := s.store.Copy()
+	pause.For(ctx, f.Length)
+	writeAgain := s.store.Restore(older)
+	pause.For(ctx, min(f.Length, reregistrationTime))
+	writeAgain()
+}
+
 // injectUpstreamFault injects one fault into an upstream or its link and returns
 // after its end. A crash or drain is skipped while another one lasts.
 func (s *Soak) injectUpstreamFault(ctx context.Context, f Fault) {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,6 +39,7 @@
 	MoveAfterRevert     FaultKind = "move-again" // a version that fails is reverted and stays registered during the next move
 	BurstBodies         FaultKind = "bodies"     // a daemon gets long bodies without a length, more than its memory holds
 	ExpireRegistrations FaultKind = "lapse"      // the store refuses calls, and the upstreams' registrations expire
+	RestoreCopy         FaultKind = "restore"    // the store returns to an older copy, and what was lost is written again later
 	SendPoisonRequest   FaultKind = "crash-each" // a poison request, which crashes each upstream that runs it, is sent repeatedly
 )
 
@@ -86,6 +87,7 @@
 	{{WholeSystem, MoveAfterRevert}, {WholeSystem, MoveAfterRevert}, {Daemons, BurstBodies}, {Daemons, BurstBodies}},
 	{{Upstreams, Announce}, {Upstreams, Announce}, {Upstreams, AskPause}, {Upstreams, AskPause}},
 	{{Upstreams, NameLimit}, {Upstreams, NameLimit}},
+	{{StoreServer, RestoreCopy}},
 }
 
 // Fault is one fault of a plan.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -249,6 +249,7 @@
 		s.clientLinks, s.daemons, s.peerLinks = append(s.clientLinks, clients), append(s.daemons, d), append(s.peerLinks, peers)
 	}
 	s.store.Rewrite = s.rewritePeerAddresses
+	s.store.SendEra()
 	for i, d := range s.daemons {
 		for j, p := range s.peerLinks {
 			if i != j {
--- a/store/era.go
+++ b/store/era.go
@@ -1,6 +1,9 @@
 package store
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // Era counts how often the store was restored from an older copy. Everything that was
 // written after the copy is then lost, and revisions go back and are assigned again. It is
@@ -27,6 +30,14 @@
 // RevisionOf returns the store's revision of an index within its era.
 func RevisionOf(index uint64) uint64 { return index & (1<<revisionBits - 1) }
 
+// Shown returns an index for logs: the revision in era 0, and the era before it otherwise.
+func Shown(index uint64) any {
+	if EraOf(index) == 0 {
+		return index
+	}
+	return fmt.Sprintf("%d/%d", EraOf(index), RevisionOf(index))
+}
+
 // Eras knows the newest era that this daemon has learnt of.
 type Eras interface {
 	// Era returns the newest era.
