Merge the eras of the store; duties use them

The duties' state machine now gets the era of a view and the newest one that any response named, in place of a constant, and a condition of another era counts as a transaction without effect.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -78,10 +78,11 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(stop)
 	defer signal.Stop(reload)
-	kvStore := platform.NewStore(s.StoreAddress)
-	o := edge.Options{Settings: s, Store: kvStore, Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger}
+	kv := platform.NewStore(s.StoreAddress)
+	kv.SetLogger(telemetry.WithPart(logger, "store"))
+	o := edge.Options{Settings: s, Store: kv, Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, Logger: logger}
 	if s.Duties.Any() {
-		o.DutyStore, o.Cloud = kvStore, platform.NewCloud(s.Duties.ControlAddress)
+		o.DutyStore, o.Cloud = kv, platform.NewCloud(s.Duties.ControlAddress)
 	}
 	d, err := edge.New(o)
 	if err != nil {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -12,8 +12,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/gooseberryroad/gooseberryroad/era"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/sources"
 	"github.com/gooseberryroad/gooseberryroad/store"
@@ -68,6 +70,10 @@
 	// registrationCheckInterval is how often a daemon checks whether the registration
 	// of an earlier process has ended.
 	registrationCheckInterval = time.Second
+	// restoreDelay is the range of the random delay with which a daemon reads the content of
+	// a store that was restored from an older copy. It spreads the reads of all daemons that
+	// watch the store.
+	restoreDelay = 200 * time.Millisecond
 	// minRegisterRetry is the shortest pause after a registration that failed.
 	minRegisterRetry = 2 * time.Second
 )
@@ -76,6 +82,7 @@
 type Store interface {
 	store.Watcher
 	store.Leaser
+	store.Eras
 }
 
 // Relay fetches content from other daemons.
@@ -111,6 +118,9 @@
 	RecoveryRevision uint64
 }
 
+// Era returns the era of the update's revision.
+func (u Update) Era() store.Era { return store.EraOf(u.Revision) }
+
 // Options configure a Follower.
 type Options struct {
 	Store   Store
@@ -138,6 +148,8 @@
 	// an outage; they are zero during it.
 	recoveredAt      time.Time
 	recoveryRevision uint64
+	// config is the version of the configuration in force, in a store that tells an era.
+	config int64
 	// confirmation is shared by all contents of a follower, because it changes with
 	// each answer of the source.
 	confirmation *atomic.Pointer[confirmation]
@@ -156,6 +168,10 @@
 	return time.Since(c.confirmation.Load().at)
 }
 
+// SameConfig reports whether the content passes on the same configuration as other. In a
+// store that tells no era, the configuration only changes with the revision.
+func (c *Content) SameConfig(other *Content) bool { return c.config == other.config }
+
 // UpToDate reports whether the daemon's own source works and the store confirmed
 // the content lately.
 func (c *Content) UpToDate() bool { return c.sourceWorking && c.Age() < c.maxAge }
@@ -237,22 +253,27 @@
 	// lease is the ID of the lease of this process's keys; 0 before the first one.
 	lease          uint64
 	leaseGrantedAt time.Time
+	leaseEra       store.Era
 }
 
+// Era returns the newest era of the store that this daemon has learnt of.
+func (f *Follower) Era() store.Era { return f.options.Store.Era() }
+
 // Lease returns the ID of the lease of this daemon's keys. It asks the store for one
 // if there is none that lasts for a while.
 func (f *Follower) Lease(ctx context.Context) (uint64, error) {
 	f.leaseMu.Lock()
 	defer f.leaseMu.Unlock()
-	if f.lease != 0 && time.Since(f.leaseGrantedAt) < peerLease/2 {
+	// An era that rises during the grant makes the next call ask for another lease.
+	now, e := time.Now(), f.Era()
+	if f.lease != 0 && f.leaseEra == e && now.Sub(f.leaseGrantedAt) < peerLease/2 {
 		return f.lease, nil
 	}
-	now := time.Now()
 	lease, err := f.options.Store.Grant(ctx, peerLease)
 	if err != nil {
 		return 0, eris.Wrap(err, "grant the lease")
 	}
-	f.lease, f.leaseGrantedAt = lease, now
+	f.lease, f.leaseGrantedAt, f.leaseEra = lease, now, e
 	return lease, nil
 }
 
@@ -314,7 +335,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case now := <-tick.C:
+			s.expireKept(now)
 		case o := <-outcomes:
 			f.handleOutcome(s, chooser, o)
 			if s.peersChanged {
@@ -333,9 +355,18 @@
 
 func (f *Follower) nextQuery(s *state, c *sources.Chooser) query {
 	now := time.Now()
+	if s.mustAskOthers() {
+		return query{source: sources.Source{Kind: sources.AskPeers}, peers: f.otherAddresses(s), until: now}
+	}
 	c.Confirmed(s.confirmedAt)
-	q := query{source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted, until: s.confirmedAt.Add(f.timing.confirmInterval)}
+	restored := s.loaded && f.Era() > store.EraOf(s.revision)
+	q := query{
+		source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted || restored,
+		until: s.confirmedAt.Add(f.timing.confirmInterval),
+	}
 	switch {
+	case q.source.Kind == sources.Store && restored:
+		q.source.Delay = max(q.source.Delay, restoreDelay)
 	case q.source.Probe:
 		q.until = now
 	case q.source.Kind == sources.Follow:
@@ -358,18 +389,27 @@
 	now := time.Now()
 	switch o.query.source.Kind {
 	case sources.AskPeers:
+		if s.mustAskOthers() {
+			// Versions of the configuration are the same in all eras.
+			s.takeNewerConfig(o.update.Entries)
+			s.othersAsked, s.dirty = true, true
+		}
 		if o.err == nil {
 			f.applyPeerUpdate(s, o.update, now)
 		}
 	case sources.Follow:
 		name := o.query.source.Peer.Name
 		if o.err != nil {
-			f.options.Logger.Warn("followed daemon lost", "daemon", name, "revision", s.revision, "cause", o.err)
+			f.options.Logger.Warn("followed daemon lost", "daemon", name, "revision", store.Shown(s.revision), "cause", o.err)
 			c.PeerFailed(name, now)
 			return
 		}
+		// Until a daemon knows the newest era, another one may pass on its content earlier.
+		if o.update.Era() < f.Era() {
+			o.update.UpToDate = false
+		}
 		if !o.update.UpToDate {
-			f.options.Logger.Info("followed daemon does not see the store", "daemon", name, "revision", s.revision, "age", o.update.Age)
+			f.options.Logger.Info("followed daemon does not see the store", "daemon", name, "revision", store.Shown(s.revision), "age", o.update.Age)
 		}
 		c.PeerAnswered(name, o.update.UpToDate, now)
 		f.applyPeerUpdate(s, o.update, now)
@@ -383,20 +423,26 @@
 func (f *Follower) handleStoreOutcome(s *state, c *sources.Chooser, o outcome, now time.Time) {
 	switch {
 	case errors.Is(o.err, store.ErrCompacted):
-		f.options.Logger.Info("store compacted its history; reading a snapshot", "revision", s.revision)
+		f.options.Logger.Info("store compacted its history; reading a snapshot", "revision", store.Shown(s.revision))
 		c.StoreAnswered()
 		s.compacted = true
 		return
+	case errors.Is(o.err, store.ErrOlderEra):
+		// The store is not away. The next call is delayed, so that a store which answers in
+		// turns from two eras is not asked without a pause.
+		f.options.Logger.Info("response of an older era of the store ignored", "era", f.Era(), "revision", store.Shown(s.revision))
+		c.StoreFailed()
+		return
 	case o.err != nil:
 		if s.storeReachable {
-			f.options.Logger.Warn("store lost", "revision", s.revision, "cause", o.err)
+			f.options.Logger.Warn("store lost", "revision", store.Shown(s.revision), "cause", o.err)
 		}
 		c.StoreFailed()
 		s.storeFailed(now)
 		return
 	}
 	if !s.storeReachable {
-		f.options.Logger.Info("store seen", "revision", o.update.Revision)
+		f.options.Logger.Info("store seen", "revision", store.Shown(o.update.Revision))
 	}
 	c.StoreAnswered()
 	if s.registry.StoreAvailable(now) {
@@ -409,6 +455,14 @@
 
 // applyPeerUpdate applies what another daemon knows, if it is newer.
 func (f *Follower) applyPeerUpdate(s *state, u Update, now time.Time) {
+	if u.Era() < f.Era() {
+		metrics.GetOrCreateCounter(`gooseberryroad_store_older_era_responses_total{source="daemon"}`).Inc()
+		return
+	}
+	f.options.Store.NoteEra(u.Era())
+	if !s.loaded {
+		s.othersAsked = true
+	}
 	if at := now.Add(-u.Age); at.After(s.confirmedAt) && (!s.loaded || u.Revision >= s.revision) {
 		s.confirmedAt = at
 	}
@@ -450,17 +504,18 @@
 	}
 	old := f.content.Load()
 	nearOutage := s.registry.NearOutage(confirmed)
-	if !s.loaded || old.Revision == s.revision && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
+	config := int64(0)
+	if store.EraOf(s.revision) > 0 && s.table != nil {
+		config = s.table.Version()
+	}
+	if !s.loaded || old.Revision == s.revision && old.config == config && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
 		f.confirm(confirmed)
 		return
 	}
 	next := &Content{
 		recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision, sourceWorking: s.sourceWorking, nearOutage: nearOutage,
-		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision,
-		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: make([]store.Entry, 0, len(s.entries)),
-	}
-	for _, e := range s.entries {
-		next.entries = append(next.entries, e)
+		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision, config: config,
+		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: s.contentEntries(),
 	}
 	f.content.Store(next)
 	// Later than the content: the store did not confirm the old one again.
@@ -612,18 +667,26 @@
 	for ctx.Err() == nil && !f.loaded.Load() {
 		pause.For(ctx, loadCheckInterval)
 	}
+	known := f.Era()
 	pause.For(ctx, rand.N(registerDelay))
-	for ctx.Err() == nil && f.registered.Load() {
+	for ctx.Err() == nil && f.registered.Load() && f.Era() == known {
 		pause.For(ctx, registrationCheckInterval)
 	}
 	for ctx.Err() == nil {
+		if e := f.Era(); e != known {
+			// The store lost the registrations of all daemons.
+			known = e
+			pause.For(ctx, rand.N(era.RewriteSpread))
+		}
 		if err := f.registerOnce(ctx); err != nil {
 			f.options.Logger.Warn("registration of this daemon failed; retrying", "cause", err)
 			pause.For(ctx, minRegisterRetry+rand.N(minRegisterRetry))
 			continue
 		}
 		f.options.Logger.Info("daemon registered", "address", f.options.Self.Address)
-		pause.For(ctx, peerLease/2)
+		for due := time.Now().Add(peerLease / 2); ctx.Err() == nil && time.Now().Before(due) && f.Era() == known; {
+			pause.For(ctx, registrationCheckInterval)
+		}
 	}
 }
 
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -402,7 +402,7 @@
 		return duty.Conflict
 	case errors.Is(err, store.ErrLeaseExpired):
 		return duty.Expired
-	case errors.Is(err, store.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrEraChanged) && !errors.Is(err, store.ErrUnknown):
 		return duty.Failed
 	}
 	return duty.Unknown
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/relay"
 	"github.com/gooseberryroad/gooseberryroad/sources"
+	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/telemetry"
 	"github.com/gooseberryroad/gooseberryroad/upstream"
 )
@@ -126,18 +127,15 @@
 	}
 	return newDuties(dutyOptions{
 		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, Planner: o.Planner, View: f.View,
-		ViewEra: viewEra, Era: storeEra, Lease: f.Lease,
+		ViewEra: viewEra, Era: func() uint64 { return uint64(f.Era()) }, Lease: f.Lease,
 		Send:      relay.NewClient(telemetry.WithPart(o.Logger, "relay")).SendUsage,
 		SinceBoot: bootclock.Now, TimeOfDay: time.Now, Logger: telemetry.WithPart(o.Logger, "duty"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}), nil
 }
 
-// viewEra returns the store's era of a view, and storeEra the newest one that a response of the
-// store named. The store's client does not tell them yet, so that all content is of the first
-// era.
-func viewEra(*directory.View) uint64 { return 0 }
-func storeEra() uint64               { return 0 }
+// viewEra returns the store's era of a view.
+func viewEra(v *directory.View) uint64 { return uint64(store.EraOf(v.Revision)) }
 
 func newGateway(o Options, f *directory.Follower, p *upstream.Pool, d *duties) *gateway.Gateway {
 	var onBegan func(string, time.Time)
--- a/gateway/demand_test.go
+++ b/gateway/demand_test.go
@@ -42,6 +42,10 @@
 
 func (fixedStore) PutLeased(context.Context, string, []byte, uint64) error { return nil }
 
+func (fixedStore) Era() store.Era { return 0 }
+
+func (fixedStore) NoteEra(store.Era) {}
+
 // noRelay reaches no other daemon.
 type noRelay struct{}
 
