gateway, shedding: overloaded plain services get what they can run; not run is not unknown

A client got 502 (outcome unknown) although the only upstream had answered 503 with its mark that the request had not run: the gateway read the body before it looked at the mark, and a body that broke off, was reset or did not end in time made the outcome unknown.

Change: an answer whose head says that the request has not run counts as such at once; its body is not read. Package shedding decides what part of the requests for a plain service a daemon sends, from the reports of upstreams and from refusals; the gateway uses it for services whose upstreams report a pace. Full upstreams are left out for their expected wait, and after a refusal a request that may be repeated goes only where a slot is free. routes lists the classes of the requests for a service.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,9 @@
 	// usualLatency is the moving average of each route's latency: to the complete
 	// response, or to the first event of a stream.
 	usualLatency map[string]time.Duration
+	// gates decide what part of the requests for a plain service are sent, for the services
+	// whose upstreams reported a pace.
+	gates map[string]*serviceGate
 	// crashes counts the upstreams that crashed as they began to run the same
 	// content.
 	crashes *quarantine.CrashLog
@@ -73,6 +76,7 @@
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
 		verdicts:    map[string]cutover.Rejected{},
 		meters:      map[string]*cutover.Meter{},
+		gates:       map[string]*serviceGate{},
 		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes},
 		crashes:     quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
 		partCrashes: quarantine.NewPartLog(quarantine.PartLogOptions{}), partReportRevisions: map[string]uint64{},
@@ -130,6 +134,7 @@
 	g.tracker.DropNotices(v.All, time.Now())
 	limitedUpstreams.Set(float64(g.tracker.LimitedUpstreams()))
 	g.updateCutovers(v, time.Now())
+	g.updateGates(v)
 	g.forgetRemovedRoutes(v)
 	g.adopted.DropUnregistered(v.All)
 	g.crashes.Merge(v.Crashes, time.Now())
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -83,6 +83,9 @@
 	if refusal == nil {
 		refusal = g.refuseQuarantined(r)
 	}
+	if refusal == nil {
+		refusal = g.shed(r, view.Table)
+	}
 	if refusal != nil {
 		g.refuseWithUnreadBody(w, hr, &call, *refusal)
 		g.logRefusal(&call, r, *refusal)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/routes"
+	"github.com/gooseberryroad/gooseberryroad/shedding"
 )
 
 // routeKinds are the values of the metric label kind.
@@ -67,6 +69,17 @@
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_left_out_total{reason="` + string(reason) + `"}`).Add(n)
 }
 
+// countShed counts the requests that were not sent to the upstreams of a service because
+// those have too much work.
+func countShed(service string, reason shedding.Reason) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_shed_total{service=` + strconv.Quote(service) + `,reason="` + string(reason) + `"}`).Inc()
+}
+
+// setSentPart sets the part of the recent requests for a service that were sent.
+func setSentPart(service string, part float64) {
+	metrics.GetOrCreateGauge(`gooseberryroad_gateway_sent_part{service=`+strconv.Quote(service)+`}`, nil).Set(part)
+}
+
 // These are the values of the metric label outcome of requests kept back by limits.
 const (
 	keptBackSent    = "sent"
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -109,7 +109,9 @@
 	// runs counts the upstreams on which the request ran or may have run.
 	runs           int
 	outcomeUnknown bool
-	stopReason     string
+	// turnedAway is set once a full upstream turned the request away.
+	turnedAway bool
+	stopReason string
 	// retryAfter is when the client may come back; 0 is not known.
 	retryAfter time.Duration
 	pause      time.Duration
@@ -137,6 +139,13 @@
 			return registry.Instance{}, false
 		}
 		ranked := t.g.rank(t.r, t.excluded)
+		if t.runs == 0 {
+			var full bool
+			if ranked, full = t.g.withoutFull(t.r, ranked, t.turnedAway); full && t.r.route.Repeatable() {
+				t.stopReason, t.retryAfter = codeOverloaded, t.g.shedFull(t.r)
+				return registry.Instance{}, false
+			}
+		}
 		mayAwaitPermit := len(ranked) == 0 && t.runs == 0 && t.g.permitExpected(t.r, t.giveUpAt())
 		if len(ranked) > 0 || mayAwaitPermit {
 			if t.attemptTracker.TakePause() {
@@ -167,6 +176,9 @@
 		}
 		if t.runs > 0 || !now.Add(t.pause).Before(t.giveUpAt()) {
 			t.stopReason = "no_upstream"
+			if t.turnedAway && t.g.sheds(t.r) {
+				t.stopReason, t.retryAfter = codeOverloaded, t.g.shedFull(t.r)
+			}
 			return registry.Instance{}, false
 		}
 		pause.For(ctx, t.pause)
@@ -232,6 +244,8 @@
 		}
 	})
 	switch v {
+	case verdictNotRun:
+		t.turnedAway = true
 	case verdictErred:
 		t.runs++
 	case verdictBroken, verdictCanceled:
@@ -290,21 +304,18 @@
 	defer resp.Body.Close()
 	head := g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header)
 	g.recordNotices(in, head, r.ID, began)
+	if head.NotRun {
+		// The head says it all. Whether the rest arrives, and in time, does not change that the
+		// request has not run.
+		return nil, g.recordNotRun(r, in, head), notRunCause(resp.Status, head)
+	}
 	body, reserved, err := g.heldBodies.readResponse(resp.Body)
 	r.heldResponseBytes += reserved
 	if err != nil {
 		return nil, verdictBroken, eris.Wrap(err, "read the response body")
 	}
 	now := time.Now()
-	if head.Load != nil {
-		g.withTracker(func(b *placement.Tracker) { b.SetLoad(in.ID, *head.Load, now) })
-	}
-	if head.Misdirected {
-		return nil, verdictGone, eris.New("another upstream responded at the address")
-	}
-	if head.NotRun {
-		return nil, verdictNotRun, pauseCause(head, eris.Errorf("upstream responded with status %d", resp.Status))
-	}
+	g.recordLoad(r, in, head, now)
 	if !head.Sealed {
 		return nil, verdictBroken, pauseCause(head, eris.Errorf("response with status %d has no proof that the upstream made it", resp.Status))
 	}
@@ -313,9 +324,32 @@
 		return out, verdictErred, pauseCause(head, eris.Errorf("upstream responded with status %d", resp.Status))
 	}
 	g.withTracker(func(b *placement.Tracker) { b.Succeeded(in.ID, now.Sub(began)) })
+	g.recordAnswerTime(r, in, head, now.Sub(began))
 	return out, verdictAnswered, nil
 }
 
+// recordNotRun records an answer by which an upstream said that it did not run a request,
+// and returns the verdict.
+func (g *Gateway) recordNotRun(r *request, in registry.Instance, head ResponseHead) verdict {
+	now := time.Now()
+	g.recordLoad(r, in, head, now)
+	if head.Misdirected {
+		return verdictGone
+	}
+	if head.Pause <= 0 {
+		g.recordFull(r, in, head, now)
+	}
+	return verdictNotRun
+}
+
+// notRunCause returns the cause of an attempt that an upstream did not run.
+func notRunCause(status int, head ResponseHead) error {
+	if head.Misdirected {
+		return eris.New("another upstream responded at the address")
+	}
+	return pauseCause(head, eris.Errorf("upstream responded with status %d", status))
+}
+
 // verdictOfError distinguishes a request that was not sent from one whose
 // outcome is unknown.
 func verdictOfError(ctx context.Context, err error) verdict {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -147,6 +147,8 @@
 	accountPriorities map[string]int
 	// ranked holds the services for which requests can differ in priority.
 	ranked map[string]bool
+	// classes holds the classes of the requests for each service.
+	classes map[string][]RequestClass
 }
 
 // NewTable returns the table of a configuration. It keeps pointers into the
@@ -162,6 +164,7 @@
 		accountsRequired:  len(c.Accounts) > 0,
 		accountPriorities: map[string]int{},
 		ranked:            rankedServices(c),
+		classes:           requestClasses(c),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
