shedding: orders keep their place in the first second of a burst; upstreams that are back

Cause: the floor followed from the share that was sent in the last two seconds, so at the start of a burst readings came to it soon and orders gave way.

Change: the floor of the class that gives way follows from the latest requests. While requests are shed, one that may be repeated tries an upstream again as soon as the pause between connections is over (placement.Ranked.Reconnect, ReconnectFirst; used for services with a gate only). Retry-After starts at half of the objective, as for other refusals.

--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -111,6 +111,11 @@
 	left = slices.DeleteFunc(ranked, func(u placement.Ranked) bool {
 		return s.gate.LeftOut(u.ID, now) || turnedAway && !s.gate.MayRepeat(u.ID, class, now)
 	})
+	if class.Repeatable && s.gate.Shedding() {
+		// While requests are shed, an upstream that is back must not stay idle for the rest of
+		// its pause. A request that may be repeated finds out.
+		placement.ReconnectFirst(left)
+	}
 	return left, len(left) == 0
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -353,6 +353,9 @@
 	// SlotsTaken upstreams run as many requests as they have slots, by their last
 	// load report, if it is fresh, and the requests sent to them since.
 	SlotsTaken bool
+	// Reconnect upstreams are paused because no connection could be opened, and it is time to
+	// try again.
+	Reconnect bool
 	// Limited upstreams name a limit of requests, for which this daemon has a permit.
 	Limited bool
 	// Score is the expected load; lower is better.
@@ -397,6 +400,7 @@
 			Full:           now.Before(s.fullUntil) || s.refusalPending(now),
 			SlotsTaken:     s.slotsTaken(in, now),
 			Crowded:        mostFailed && s.prefilling > 0,
+			Reconnect:      s.connectFailures > 0 && now.Before(s.pausedUntil),
 			Limited:        limited,
 			Score:          t.score(in, s, average, groupFails, remotePenalty, now),
 		})
@@ -421,6 +425,20 @@
 	return slices.DeleteFunc(slices.Clone(ranked), func(r Ranked) bool { return r.FailedRecently })
 }
 
+// ReconnectFirst moves the upstreams to the front to which it is time to try a connection
+// again. It changes ranked.
+func ReconnectFirst(ranked []Ranked) {
+	slices.SortStableFunc(ranked, func(x, y Ranked) int {
+		switch {
+		case x.Reconnect == y.Reconnect:
+			return 0
+		case x.Reconnect:
+			return -1
+		}
+		return 1
+	})
+}
+
 // WithoutFull returns the upstreams that may have a free slot, in their order:
 // those that are neither full nor crowded.
 func WithoutFull(ranked []Ranked) []Ranked {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -283,6 +283,24 @@
 		Expect(tracker.Rank(all, 0, now.Add(2400*time.Millisecond))).To(HaveLen(len(all)), "each is tried again within 400 ms")
 	})
 
+	// Guards against an upstream of an overloaded service that is back and gets nothing for the
+	// seconds for which it is ranked last, while requests are refused.
+	It("puts an upstream first, where that is asked for, once its connections are due for another try", func() {
+		tracker.ConnectRefused(all[0], now)
+		tracker.Failed(all[1], now)
+		Expect(tracker.Rank(all, 0, now)).To(HaveLen(len(all) - 1))
+		ranked := tracker.Rank(all, 0, now.Add(150*time.Millisecond))
+		Expect(ranked[0].ID).NotTo(Equal(all[0].ID))
+		placement.ReconnectFirst(ranked)
+		Expect(ranked).To(HaveLen(len(all)))
+		Expect(ranked[0].ID).To(Equal(all[0].ID))
+		Expect(ranked[len(ranked)-1].ID).To(Equal(all[1].ID), "it failed in another way")
+		tracker.Succeeded(all[0].ID, 0)
+		for _, r := range tracker.Rank(all, 0, now.Add(200*time.Millisecond)) {
+			Expect(r.Reconnect).To(BeFalse())
+		}
+	})
+
 	// After all upstreams of a service crashed, one registered half a second before
 	// the others. 41 streams queued there while the others stayed idle, and the last
 	// stream waited 13 s.
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -69,6 +69,9 @@
 	// freshReport is the age up to which a report says whether a place is likely to be
 	// free. Upstreams work off their queues within a small multiple of the work time.
 	freshReport = 250 * time.Millisecond
+	// retryShare is the mean time after which a client comes again, as a part of the latency
+	// objective, while nearly all requests are sent: the same as for other refusals.
+	retryShare = 0.5
 	// minRetryAfter is the shortest time after which a client comes again: the wire has
 	// hundredths of a second.
 	minRetryAfter = 10 * time.Millisecond
@@ -165,6 +168,7 @@
 
 type class struct {
 	Class
+	asked counter
 	// accounts holds the counts of requests, by account.
 	accounts map[string]*counter
 	prunedAt time.Time
@@ -413,7 +417,7 @@
 		g.part = max(g.part, minPart)
 		return
 	}
-	if g.part < g.floor(now) {
+	if g.part < g.classFloor(g.cutoff, now) {
 		g.cutoff++
 		g.part = 1
 	}
@@ -430,7 +434,28 @@
 		return
 	}
 	g.cutoff--
-	g.part = max(g.floor(now), minPart)
+	g.part = g.classFloor(g.cutoff, now)
+}
+
+// classFloor returns the part of a class at which the next one begins to give way: floorShare
+// of the share of all requests that is sent then. It follows from the latest requests; the
+// share that was sent lately is too high when a burst begins.
+func (g *Gate) classFloor(index int, now time.Time) float64 {
+	own, sent, all := 0.0, 0.0, 0.0
+	for i, c := range g.classes {
+		n := c.asked.value(now, demandTime)
+		all += n
+		switch {
+		case i == index:
+			own = n
+		case i > index:
+			sent += n
+		}
+	}
+	if all <= 0 {
+		return floorShare
+	}
+	return max(floorShare*sent/(all-floorShare*own), minPart)
 }
 
 // floor returns the least part of the requests of any route that is sent.
@@ -464,6 +489,7 @@
 	floor, routeShare := g.floor(now), route.share(now)
 	g.all.asked.add(now, demandTime)
 	route.asked.add(now, demandTime)
+	c.asked.add(now, demandTime)
 	d := Decision{Part: 1}
 	if i <= g.cutoff {
 		part := floor
@@ -495,7 +521,7 @@
 // retryAfter returns when the client of a request of which the given part is sent comes
 // again: the later, the more clients there are for each place, and at random.
 func (g *Gate) retryAfter(part float64, timeLeft time.Duration) time.Duration {
-	base := max(g.objective, 2*g.workTime())
+	base := max(time.Duration(retryShare*float64(g.objective)), g.workTime())
 	longest := max(timeLeft/3, minRetryAfter)
 	mean := min(time.Duration(float64(base)/max(part, minPart)), longest*2/3)
 	return min(mean/2+time.Duration(g.rnd.Float64()*float64(mean)), longest)
