gateway: a request cancelled while its connection was being opened has not run

Cause: at the end of a stop a request that still waited for a connection was told 502 (outcome unknown), because the cancellation was looked at before the error, which says that nothing was sent.

Change: such an attempt does not make the outcome unknown. shedding finds the parts of accounts without powers for each request; its model tests run in parallel.

Run: go test -race -count=1 ./shedding ./gateway. The new spec "knows that a request has not run that was cancelled before it was sent" failed before the change.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -13,8 +15,10 @@
 
 	"github.com/gooseberryroad/gooseberryroad/drain"
 	"github.com/gooseberryroad/gooseberryroad/placement"
+	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
 	"github.com/gooseberryroad/gooseberryroad/sse"
+	"github.com/gooseberryroad/gooseberryroad/upstream"
 )
 
 func TestGateway(t *testing.T) {
@@ -112,6 +116,25 @@
 		Expect(refused.outcome()).To(Equal("not_run"))
 	})
 
+	// Guards against a client that is told that the outcome is unknown at the end of a stop,
+	// although its request was still waiting for a connection.
+	ginkgo.It("knows that a request has not run that was cancelled before it was sent", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		g := New(Options{Logger: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(1, 2))})
+		for err, want := range map[error]string{
+			errors.Join(upstream.ErrNotSent, context.Canceled): "not_run",
+			context.Canceled: "unknown",
+		} {
+			t := search(time.Second)
+			t.g, t.excluded = g, map[string]bool{}
+			v := verdictOfError(ctx, err)
+			Expect(v).To(Equal(verdictCanceled))
+			t.recordAttempt(registry.Instance{ID: "a"}, v, err, time.Now())
+			Expect(t.refusal().outcome()).To(Equal(want))
+		}
+	})
+
 	// Guards against clients that were refused together and return together, and
 	// against a Retry-After beyond the latency objective.
 	ginkgo.It("gives refused clients different Retry-After times within the latency objective", func() {
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -249,6 +249,10 @@
 	case verdictErred:
 		t.runs++
 	case verdictBroken, verdictCanceled:
+		if errors.Is(err, upstream.ErrNotSent) {
+			// The request was cancelled while the connection was being opened.
+			break
+		}
 		t.runs++
 		t.outcomeUnknown = true
 	}
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -172,7 +172,8 @@
 	// accounts holds the counts of requests, by account.
 	accounts map[string]*counter
 	prunedAt time.Time
-	// latest holds, for the latest requests, the count of their account at their arrival.
+	// latest holds the weights of the latest requests, which follow from the counts of their
+	// accounts at their arrival.
 	latest []float64
 	next   int
 }
@@ -544,9 +545,9 @@
 	}
 	own := n.add(now, accountTime)
 	if len(c.latest) < arrivals {
-		c.latest = append(c.latest, own)
+		c.latest = append(c.latest, weightOf(own))
 	} else {
-		c.latest[c.next] = own
+		c.latest[c.next] = weightOf(own)
 	}
 	c.next = (c.next + 1) % arrivals
 	return own
@@ -559,23 +560,26 @@
 	if part >= 1 {
 		return 1
 	}
-	counts := slices.Clone(c.latest)
-	slices.Sort(counts)
-	// The share s is such that the mean of min(1, (s/count)^shareExponent) over the latest
-	// requests is part.
-	inverse := 0.0
-	for _, n := range counts {
-		inverse += math.Pow(n, -shareExponent)
-	}
-	want := part * float64(len(counts))
-	share := 0.0
-	for i, n := range counts {
-		// The requests before i are sent whole, those from i on by the share.
-		share = math.Pow(max(want-float64(i), 0)/inverse, 1/shareExponent)
-		if share <= n {
+	weights := slices.Clone(c.latest)
+	slices.Sort(weights)
+	// The factor is such that the mean of min(1, factor*weight) over the latest requests is
+	// part.
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	want := part * float64(len(weights))
+	factor := 0.0
+	for i, w := range slices.Backward(weights) {
+		// The requests behind this one, of accounts that ask less, are sent whole.
+		factor = (want - float64(len(weights)-1-i)) / sum
+		if factor*w <= 1 {
 			break
 		}
-		inverse -= math.Pow(n, -shareExponent)
+		sum -= w
 	}
-	return min(math.Pow(share/own, shareExponent), 1)
+	return min(max(factor, 0)*weightOf(own), 1)
 }
+
+// weightOf returns the weight of a request of an account with the given count.
+func weightOf(count float64) float64 { return math.Pow(count, -shareExponent) }
--- a/shedding/shedding_test.go
+++ b/shedding/shedding_test.go
@@ -69,6 +69,7 @@
 // most requests, against daemons that shed when the burst is over, and against slots that are
 // idle meanwhile.
 func TestReadingBurst(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		m := play(t, readingBurst(seed))
 		checkTargets(t, m)
@@ -84,6 +85,7 @@
 // Guards against small accounts that are shed because one account sends half of the
 // requests. The others alone need 93% of the capacity.
 func TestOneAccountWithHalfOfTheTraffic(t *testing.T) {
+	t.Parallel()
 	o := readingBurst(1)
 	o.kinds[0].bigAccount, o.kinds[1].bigAccount = 0.5, 0.5
 	m := play(t, o)
@@ -102,6 +104,7 @@
 
 // Guards against clients that are served better because they come again at once.
 func TestClientsThatRepeatAtOnce(t *testing.T) {
+	t.Parallel()
 	m := play(t, readingBurst(2))
 	hasty, patient := m.stats["reading at once burst"], m.stats["reading patient burst"]
 	if hasty.servedPart() > patient.servedPart()+0.03 {
@@ -112,6 +115,7 @@
 // Guards against the loss of one of three upstreams in the burst, which leaves 400 requests a
 // second.
 func TestOneUpstreamAway(t *testing.T) {
+	t.Parallel()
 	o := readingBurst(3)
 	o.awayFrom, o.awayTo = 8*time.Second, 14*time.Second
 	m := play(t, o)
@@ -127,6 +131,7 @@
 // Guards against a busy daemon that takes the place of the others, or is shed by itself: one
 // daemon has ten times the requests of another.
 func TestUnevenTraffic(t *testing.T) {
+	t.Parallel()
 	o := readingBurst(4)
 	o.uneven = true
 	m := play(t, o)
@@ -141,6 +146,7 @@
 // upstreams take 100 ms to turn a request away, and the time that work takes changes by more
 // than a factor of two.
 func TestLateReportsAndUnevenUpstreams(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		o := readingBurst(seed)
 		o.network, o.refusal, o.phases = 8*time.Millisecond, 100*time.Millisecond, true
@@ -155,6 +161,7 @@
 // Guards against loads for which the controller does not work: other rates, work times,
 // numbers of daemons and upstreams, and clients that come again.
 func TestDrawnLoads(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		rnd := rand.New(rand.NewPCG(seed, 11))
 		between := func(from, to float64) float64 { return from + rnd.Float64()*(to-from) }
