shedding: a daemon with little traffic does not shed after one report

Cause: one report lowered the part by 59% at a daemon that had none for 300 ms, and a reading that an upstream turned away was refused at a quiet daemon although another upstream may have had room.

Change: one report lowers the part by 26% at most. While nothing is shed, a reading that was turned away is sent on as an order is.

--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -96,9 +96,9 @@
 
 // withoutFull returns the ranked upstreams without those that turned a request away a
 // moment ago. turnedAway says that one of them turned this request away; it is then sent
-// only where a place is likely to be free. full is set if there are upstreams and none is
-// left.
-func (g *Gateway) withoutFull(r *request, ranked []placement.Ranked, turnedAway bool) (left []placement.Ranked, full bool) {
+// only where a place is likely to be free. giveUp is set if none is left and the request is
+// not to wait for one.
+func (g *Gateway) withoutFull(r *request, ranked []placement.Ranked, turnedAway bool) (left []placement.Ranked, giveUp bool) {
 	table := g.o.Directory.View().Table
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -111,7 +111,10 @@
 	left = slices.DeleteFunc(ranked, func(u placement.Ranked) bool {
 		return s.gate.LeftOut(u.ID, now) || turnedAway && !s.gate.MayRepeat(u.ID, class, now)
 	})
-	if class.Repeatable && s.gate.Shedding() {
+	if !class.Repeatable || !s.gate.Shedding() {
+		return left, false
+	}
+	if len(left) > 0 {
 		// While requests are shed, an upstream that is back must not stay idle for the rest of
 		// its pause. A request that may be repeated finds out.
 		placement.ReconnectFirst(left)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -140,8 +140,8 @@
 		}
 		ranked := t.g.rank(t.r, t.excluded)
 		if t.runs == 0 {
-			var full bool
-			if ranked, full = t.g.withoutFull(t.r, ranked, t.turnedAway); full && t.r.route.Repeatable() {
+			var giveUp bool
+			if ranked, giveUp = t.g.withoutFull(t.r, ranked, t.turnedAway); giveUp {
 				t.stopReason, t.retryAfter = codeOverloaded, t.g.shedFull(t.r)
 				return registry.Instance{}, false
 			}
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -40,6 +40,9 @@
 	// maxStep is the longest time between two reports for which the part is adjusted. A
 	// report says little of what was before.
 	maxStep = 300 * time.Millisecond
+	// maxLowerStep is the same for the fall: one report lowers the part by 26% at most, also
+	// at a daemon with little traffic.
+	maxLowerStep = 100 * time.Millisecond
 	// refusalFactor is by what the part is multiplied when an upstream turns a request
 	// away, at most once each refusalInterval. Within that time the daemons' requests that
 	// were on their way have arrived.
@@ -364,22 +367,18 @@
 }
 
 // MayRepeat reports whether a request that an upstream turned away may be sent to this one.
-// Those that may be repeated by their clients are, only if a slot is likely to be free.
+// While requests are shed, those that may be repeated by their clients are sent again only
+// if a slot is likely to be free, so that the others have the repeats first.
 func (g *Gate) MayRepeat(id string, c Class, now time.Time) bool {
 	if g.LeftOut(id, now) {
 		return false
 	}
 	u := g.upstreams[id]
-	limit := freshReport
-	if !g.Shedding() {
-		limit = freeMemory
+	fresh := u != nil && !u.loadAt.IsZero() && now.Sub(u.loadAt) < freshReport
+	if c.Repeatable && g.Shedding() {
+		return fresh && u.load.Waiting == 0 && u.load.Running < u.load.Slots
 	}
-	fresh := u != nil && !u.loadAt.IsZero() && now.Sub(u.loadAt) < limit
-	if !c.Repeatable {
-		// Without a fresh report the place is worth a try: these requests are few.
-		return !fresh || g.wait(u.load) <= 2*g.target()
-	}
-	return fresh && u.load.Waiting == 0 && u.load.Running < u.load.Slots
+	return !fresh || g.wait(u.load) <= 2*g.target()
 }
 
 func (g *Gate) workTime() time.Duration {
@@ -426,7 +425,7 @@
 		if g.freeElsewhere(id, now) {
 			return
 		}
-		g.scale(math.Exp(-lowerRate*min(ratio-1, maxExcess)*step.Seconds()), now)
+		g.scale(math.Exp(-lowerRate*min(ratio-1, maxExcess)*min(step, maxLowerStep).Seconds()), now)
 		return
 	}
 	rate := raiseRate * (1 - ratio) * (raiseBase + (1-raiseBase)*g.part)
