shedding, gateway: the work time is learnt while few wait; a request keeps its class

Cause: at the start of a burst an answer that had waited shortly is divided by the queue of those that wait now, so that work seems shorter than it is. The class of a request was found again from the newest configuration for each attempt.

Change: answers given while more than half as many requests wait as there are slots count a fifth of the others. The class is found once, when the request is admitted.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
+	"github.com/gooseberryroad/gooseberryroad/shedding"
 )
 
 var tracer = otel.Tracer("gooseberryroad/gateway")
@@ -43,6 +44,8 @@
 	cachedParts []quarantine.Hash
 	// heldResponseBytes is what is reserved for responses until the request ends.
 	heldResponseBytes int64
+	// shedClass decides whether the request gives way to others of its service.
+	shedClass shedding.Class
 	// useTargetVersion says that the request goes to the version to which its
 	// service is being moved.
 	useTargetVersion bool
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -54,6 +54,7 @@
 
 // shed refuses a request if the upstreams of its service have too much work for it.
 func (g *Gateway) shed(r *request, table *routes.Table) *refusal {
+	r.shedClass = shedding.Class{Priority: table.Priority(r.route, r.account), Repeatable: r.route.Repeatable()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -61,7 +62,7 @@
 	if s == nil {
 		return nil
 	}
-	d := s.gate.Admit(shedding.Request{Class: g.shedClass(r, table), Route: r.route.Name, Account: r.account, TimeLeft: r.timeLeft(now)}, now)
+	d := s.gate.Admit(shedding.Request{Class: r.shedClass, Route: r.route.Name, Account: r.account, TimeLeft: r.timeLeft(now)}, now)
 	setSentPart(r.service, s.gate.SentShare(now))
 	if !d.Send {
 		s.shed++
@@ -74,10 +75,6 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: codeOverloaded, retryAfter: d.RetryAfter}
 }
 
-func (g *Gateway) shedClass(r *request, table *routes.Table) shedding.Class {
-	return shedding.Class{Priority: table.Priority(r.route, r.account), Repeatable: r.route.Repeatable()}
-}
-
 // shedFull counts a request that found all upstreams full, and returns when its client comes
 // again.
 func (g *Gateway) shedFull(r *request) time.Duration {
@@ -99,7 +96,6 @@
 // only where a place is likely to be free. giveUp is set if none is left and the request is
 // not to wait for one.
 func (g *Gateway) withoutFull(r *request, ranked []placement.Ranked, turnedAway bool) (left []placement.Ranked, giveUp bool) {
-	table := g.o.Directory.View().Table
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -107,7 +103,7 @@
 	if s == nil || len(ranked) == 0 && !turnedAway {
 		return ranked, false
 	}
-	class := g.shedClass(r, table)
+	class := r.shedClass
 	left = slices.DeleteFunc(ranked, func(u placement.Ranked) bool {
 		return s.gate.LeftOut(u.ID, now) || turnedAway && !s.gate.MayRepeat(u.ID, class, now)
 	})
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -65,8 +65,11 @@
 	// arrivals is the number of latest requests of a class over which the shares of the
 	// accounts are found.
 	arrivals = 64
-	// workWeight is the weight of the newest answer in the mean work time.
-	workWeight = 0.1
+	// workWeight is the weight of the newest answer in the mean work time, and
+	// crowdedWorkWeight that of an answer while many wait: at the start of a burst the wait of
+	// the answered request was shorter than that of those that wait now.
+	workWeight        = 0.1
+	crowdedWorkWeight = 0.02
 	// defaultWork is the work time while no answer has told it.
 	defaultWork = 50 * time.Millisecond
 	// maxWait keeps a wait within the range of a duration.
@@ -329,7 +332,11 @@
 		g.work = work
 		return
 	}
-	g.work += time.Duration(workWeight * float64(work-g.work))
+	weight := workWeight
+	if 2*l.Waiting > l.Slots {
+		weight = crowdedWorkWeight
+	}
+	g.work += time.Duration(weight * float64(work-g.work))
 }
 
 // Refused records that an upstream turned a request away because it is full, and how long
