--- a/routes/routes.go
+++ b/routes/routes.go
@@ -149,6 +149,8 @@
 	// ranked the services of engines whose routes differ in priority.
 	ranks  map[string][]rank
 	ranked map[string]bool
+	// classes holds the classes of the requests for each service.
+	classes map[string][]RequestClass
 }
 
 // NewTable returns the table of a configuration. It keeps pointers into the
@@ -165,6 +167,7 @@
 		accountPriorities: map[string]int{},
 		ranks:             map[string][]rank{},
 		ranked:            map[string]bool{},
+		classes:           map[string][]RequestClass{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -187,6 +190,7 @@
 		}
 	}
 	t.setRanks(c)
+	t.setClasses(c)
 	return t
 }
 
