edge: drawn failures of daemons, links and the store against usage reports

Cause: the failures of the design note are brought about one by one; nothing checked that several together never give a window two contents. Change: 20 seeds of 25 changes each in virtual time. The view is read before the lock of the duties is taken, so that a tick that waits for it holds nothing up.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -182,9 +182,10 @@
 }
 
 func (d *duties) tick() {
+	v := d.o.View()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.observe()
+	d.observe(v)
 	d.step(duty.Tick{})
 	now := d.o.SinceBoot()
 	if d.collector != nil {
@@ -237,8 +238,7 @@
 
 // observe passes a new view of the directory to the machine and the collector. The caller
 // holds d.mu.
-func (d *duties) observe() {
-	v := d.o.View()
+func (d *duties) observe(v *directory.View) {
 	era, newest := d.o.ViewEra(v), d.o.Era()
 	if v.Revision > 0 {
 		d.step(duty.EraSeen{Era: max(era, newest)})
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -743,3 +743,90 @@
 		}
 	})
 }
+
+// disturb makes one change that is drawn by rnd.
+func (w *dutyWorld) disturb(rnd *rand.Rand) {
+	d := w.daemons[rnd.IntN(len(w.daemons))]
+	if h := w.holder(); h != nil && rnd.IntN(2) == 0 {
+		d = h
+	}
+	d.mu.Lock()
+	dead, frozen := d.dead, d.thaw != nil
+	d.mu.Unlock()
+	kind := rnd.IntN(10)
+	fmt.Fprintf(w, "-- %v: %d %s\n", time.Since(w.begin), kind, d.name)
+	switch {
+	case frozen:
+	case dead:
+		d.start()
+	case kind == 0:
+		d.kill()
+	case kind == 1:
+		length := time.Duration(rnd.IntN(6000)) * time.Millisecond
+		go d.freeze(length)
+	case kind == 2:
+		d.set(func() { d.noStore = !d.noStore })
+	case kind == 3:
+		d.set(func() { d.noControl = !d.noControl })
+	case kind == 4:
+		d.set(func() { d.noOthers = !d.noOthers })
+	case kind == 5:
+		d.set(func() { d.loseCommits++ })
+	case kind == 6:
+		w.cloud.mu.Lock()
+		w.cloud.loseNext++
+		w.cloud.mu.Unlock()
+	case kind == 7:
+		w.store.restore(time.Duration(rnd.IntN(6000)) * time.Millisecond)
+	case kind == 8:
+		d.d.stop(context.Background())
+		d.d.sendLastCounts(context.Background(), drain.Plan{Began: time.Now(), Grace: 3 * time.Second})
+		d.kill()
+		wait(100 * time.Millisecond)
+		d.start()
+	default:
+		w.heal()
+	}
+}
+
+func (w *dutyWorld) heal() {
+	for _, d := range w.daemons {
+		d.mu.Lock()
+		dead := d.dead
+		d.noStore, d.noControl, d.noOthers = false, false, false
+		d.mu.Unlock()
+		if dead {
+			d.start()
+		}
+	}
+}
+
+// Guards against a window that is reported with two contents, and against two acting daemons,
+// whatever fails together; and against reports that stay away once everything works again.
+func TestReportsUnderDrawnFailures(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rnd := rand.New(rand.NewPCG(seed, 1))
+				w := newDutyWorld(t, 2+rnd.IntN(4))
+				wait(8 * time.Second)
+				for range 25 {
+					w.disturb(rnd)
+					wait(time.Duration(rnd.IntN(4000)) * time.Millisecond)
+				}
+				// Freezes end.
+				wait(6 * time.Second)
+				w.heal()
+				wait(30 * time.Second)
+				healed := int64(usage.WindowAt(time.Now(), testWindow))
+				e := w.effect()
+				t.Logf("%+v, %d windows of %d reported", e, len(w.cloud.reports), len(w.began))
+				for id := range w.began {
+					if _, ok := w.cloud.reports[id]; !ok && id >= healed && id <= healed+2 {
+						t.Errorf("window %d is missing although everything works", id)
+					}
+				}
+			})
+		})
+	}
+}
