--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -42,6 +42,10 @@
 // errHeadTooLong reports a response whose head is longer than maxHeadBytes.
 var errHeadTooLong = errors.New("response head is too long")
 
+// errNoOrderlyEnd reports the end of a response without a length for which nothing proves
+// that the upstream ended it in order.
+var errNoOrderlyEnd = errors.New("connection ended while the request was written, without proof that the response is complete")
+
 // ErrNotSent reports that no byte of a request was sent, so that the request
 // has not run.
 var ErrNotSent = errors.New("request was not sent")
@@ -255,11 +259,23 @@
 	res     *http.Response
 	stop    func() bool
 	written <-chan error
-	done    bool
+	// writeEnded is set once the result of the write, writeErr, was received from written.
+	writeEnded bool
+	writeErr   error
+	done       bool
+	// endErr is what Read returns after the end.
+	endErr error
 }
 
 func (b *responseBody) Read(buf []byte) (int, error) {
+	if b.endErr != nil {
+		return 0, b.endErr
+	}
 	n, err := b.res.Body.Read(buf)
+	if err == io.EOF && !b.endedInOrder() {
+		err = errors.Join(errNoOrderlyEnd, b.writeErr, io.ErrUnexpectedEOF)
+	}
+	b.endErr = err
 	if err == io.EOF {
 		b.finish(true)
 	} else if err != nil {
@@ -286,16 +302,30 @@
 	b.pool.put(b.conn, b.pool.keepAliveTime(b.res.Header))
 }
 
+// endedInOrder reports whether the end of the body that was read is the end of the response.
+// A length or a last chunk proves it. A response without either ends with the connection, and
+// the end of the connection is orderly if the upstream closed it, not if it reset it. The
+// kernel reports a reset to one call only: a write that fails takes it, and the next read
+// reports an ordinary end. So while the request is not written completely, or if its write
+// failed, the end of the connection proves nothing by itself; then the response is complete
+// only if the kernel has the upstream's FIN and no reset.
+func (b *responseBody) endedInOrder() bool {
+	delimitedByClose := b.res.ContentLength < 0 && len(b.res.TransferEncoding) == 0 && b.res.Body != http.NoBody
+	return !delimitedByClose || b.requestWritten() || closedByPeer(b.conn.Conn)
+}
+
 // requestWritten reports whether the whole request was sent. A connection on
 // which the upstream still waits for bytes of the body cannot carry another
 // request.
 func (b *responseBody) requestWritten() bool {
-	select {
-	case err := <-b.written:
-		return err == nil
-	default:
-		return false
+	if !b.writeEnded {
+		select {
+		case b.writeErr = <-b.written:
+			b.writeEnded = true
+		default:
+		}
 	}
+	return b.writeEnded && b.writeErr == nil
 }
 
 // keepAliveTime returns how long an idle connection may be kept: the timeout in
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"sync"
 	"syscall"
@@ -139,3 +140,29 @@
 	})
 	return err == nil && open
 }
+
+// stateCloseWait is the kernel's state of a connection (TCP_CLOSE_WAIT) that the other side
+// closed in order, and that was not reset.
+const stateCloseWait = 8
+
+// closedByPeer reports whether the other side closed a connection in order and has not reset
+// it. It is false if that is not known.
+func closedByPeer(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var state byte
+	err = raw.Control(func(fd uintptr) {
+		// The state is the first byte of the kernel's answer.
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		if err == nil {
+			state = binary.NativeEndian.AppendUint32(nil, uint32(info))[0]
+		}
+	})
+	return err == nil && state == stateCloseWait
+}
