upstream, platform: a status outside 100 to 599 is a malformed response

Cause: every status below 200 counted as informational, so that the body of an answer with status 000 was read as the next answer, and 600 to 999 were passed on to clients. The store's client said of such an answer to a write that the write had no effect. Change: a status outside 100 to 599, an informational response with a body and 101 are errors; the connection is closed with the rest unread, and the outcome of the request is unknown.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -50,6 +50,14 @@
 // has not run.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrMalformed reports a response that is none by its status: one outside 100 to 599, an
+// informational one with a body, or 101, which no request asks for. Its length cannot be
+// trusted, so that nothing that follows it is read. The request may have run.
+var ErrMalformed = errors.New("malformed response")
+
+// maxStatus is the largest status of a response.
+const maxStatus = 599
+
 // ErrConnectTimeout reports that no connection could be opened in time. The
 // request was not sent.
 var ErrConnectTimeout = errors.New("no connection to the upstream within the time allowed")
@@ -217,6 +225,9 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "read response")
 		}
+		if err := checkStatus(res); err != nil {
+			return nil, err
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -237,6 +248,26 @@
 	return nil, eris.New("too many informational responses or responses to other requests")
 }
 
+// checkStatus returns an error that wraps ErrMalformed if a response has a status that no
+// response to these requests can have, or announces a body that its status excludes.
+func checkStatus(res *http.Response) error {
+	switch {
+	case res.StatusCode < http.StatusContinue || res.StatusCode > maxStatus:
+		return eris.Wrapf(ErrMalformed, "status %d", res.StatusCode)
+	case res.StatusCode == http.StatusSwitchingProtocols:
+		return eris.Wrap(ErrMalformed, "status 101 to a request that asks for no other protocol")
+	case res.StatusCode < http.StatusOK && hasBody(res):
+		return eris.Wrapf(ErrMalformed, "informational status %d with a body", res.StatusCode)
+	}
+	return nil
+}
+
+// hasBody reports whether the head of a response announces a body.
+func hasBody(res *http.Response) bool {
+	length := strings.TrimSpace(res.Header.Get("Content-Length"))
+	return len(res.TransferEncoding) > 0 || length != "" && length != "0"
+}
+
 // attribute returns an error if a response may belong to an earlier request, and marks
 // it as the last one of its connection if the request wants that.
 func (c *conn) attribute(res *http.Response, r Request) error {
