clientconn, edge, gateway: limits of clients' heads and connections

Cause: net/http parses heads as they arrive into several times their size, and nothing bounded the sum of heads that do not end, nor the number of connections. Change: a connection holds the bytes of a head until it is complete. Incomplete heads have 10% of memory-mb; when it is used up, the oldest slow, large or other head is closed. Complete heads above 8 KB count together with bodies. A head has at most 4,200 fields and 10 s from its first byte; connections are limited by descriptors (limits.max-fds, decoded now) and memory. A connection that has sent nothing is closed after 30 s instead of 10 s, which is more than the idle time that clients are promised. Each limit has a metric and at most one log line a second. New in clientconn: limits, deadlines, FuzzHeldHeads; one test found that a head with an unreadable Content-Length escaped the account, mended here.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,8 +32,12 @@
 )
 
 const (
-	// headerTimeout bounds the time in which the head of a request must arrive.
+	// headerTimeout bounds the time in which the head of a request must arrive. The header
+	// timeout of operators' configurations is 3 s.
 	headerTimeout = 10 * time.Second
+	// unusedTimeout bounds the time until the first byte on a new connection of a client. It
+	// is longer than the idle time that operators' configurations give to clients, 15 s.
+	unusedTimeout = 30 * time.Second
 	// idleTimeout is longer than the idle timeout in any operator's configuration, which
 	// limits how long a client keeps a connection idle, so that a client never reuses a
 	// connection that the daemon has just closed.
@@ -116,6 +120,7 @@
 		Failover:         failover.DefaultOptions(),
 		Budget:           o.Settings.budget(),
 		MaxHeldBodyBytes: int64(bodyMemoryShare * float64(o.Settings.MemoryMB<<20)),
+		MaxHeldHeadBytes: int64(headMemoryShare * float64(o.Settings.MemoryMB<<20)),
 	})
 	f.SetOnView(g.OnView)
 	return g
@@ -150,8 +155,11 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.connections = clientconn.NewTracker(telemetry.WithPart(e.o.Logger, "clients"))
+	limits := e.o.Settings.clientLimits(processFDs(), e.gateway.Memory())
+	e.connections.SetLimits(limits)
 	e.clients = &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		// The head itself has a time of its own in the limits.
+		Handler: e.gateway, ReadHeaderTimeout: unusedTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(telemetry.WithPart(e.o.Logger, "clients").Handler(), slog.LevelInfo),
 	}
 	e.connections.Attach(e.clients)
@@ -187,7 +195,8 @@
 	go e.sweep(runCtx)
 	go e.publish(runCtx)
 	s.logBrokenPromises(telemetry.WithPart(e.o.Logger, "edge"))
-	e.o.Logger.Info("daemon started", "part", "edge", "name", s.Name, "data_centre", s.DataCentre, "clients", e.ClientAddress())
+	e.o.Logger.Info("daemon started", "part", "edge", "name", s.Name, "data_centre", s.DataCentre, "clients", e.ClientAddress(),
+		"max_connections", limits.MaxConnections)
 	return nil
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,6 +28,9 @@
 	StoreAddress string
 	// MemoryMB is the memory that the process may use; 0 is unknown.
 	MemoryMB int
+	// MaxFDs is the number of descriptors that the process may have open; 0 leaves only the
+	// limit that the system sets for the process.
+	MaxFDs int
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; 0 is unknown.
 	LinkMbps float64
 	// StopGrace is the time from the request to stop until the process is killed.
@@ -99,6 +102,8 @@
 		return eris.New("settings: the addresses for clients and for readiness checks are required")
 	case s.StoreAddress == "":
 		return eris.New("settings: the store's address is required")
+	case s.MaxFDs < 0:
+		return eris.New("settings: the number of descriptors cannot be negative")
 	case s.StopGrace < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.MaxStaleness < 0 ||
 		s.MaxRevocationTime < 0 || s.MaxDrainTime < 0:
 		return eris.New("settings: times and ratios cannot be negative")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
+	"github.com/gooseberryroad/gooseberryroad/internal/clientconn"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
@@ -73,13 +74,16 @@
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
 		verdicts:    map[string]cutover.Rejected{},
 		meters:      map[string]*cutover.Meter{},
-		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes},
+		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes, headLimit: o.MaxHeldHeadBytes},
 		crashes:     quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
 		partCrashes: quarantine.NewPartLog(quarantine.PartLogOptions{}), partReportRevisions: map[string]uint64{},
 		adoptionsRunning: map[string]bool{}, usualLatency: map[string]time.Duration{},
 	}
 }
 
+// Memory returns the account of what is held for clients.
+func (g *Gateway) Memory() clientconn.Memory { return &g.heldBodies }
+
 // Drain makes the gateway close each client connection after the response to the last
 // request that has arrived on it, admit only the requests that the plan allows, and answer
 // those that still run before their connections are cut. It is called once.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -30,19 +30,46 @@
 	// errTooLong reports a body that is longer than it may be.
 	errTooLong = errors.New("body is too long")
 
-	heldBytes = metrics.NewGauge("gooseberryroad_gateway_held_bytes", nil)
+	heldBytes     = metrics.NewGauge("gooseberryroad_gateway_held_bytes", nil)
+	heldHeadBytes = metrics.NewGauge("gooseberryroad_client_head_bytes", nil)
 )
 
-// byteLimiter bounds the total size of the request bodies and long response bodies
-// that are held at once. A request's body is held until the request ends, because it
-// may have to be sent again.
+// byteLimiter is the account of the memory that is held for clients: the heads of requests
+// that are not complete, long heads and the bodies of requests, and long response bodies. A
+// request's body is held until the request ends, because it may have to be sent again.
 type byteLimiter struct {
-	held atomic.Int64
-	// limit bounds the bodies of requests, in bytes; 0 is no limit. Responses may take
-	// responseShare more.
+	// held is what requests and responses hold, heads what heads that are not complete hold.
+	held, heads atomic.Int64
+	// limit bounds the heads and bodies of requests, in bytes; 0 is no limit. Responses may
+	// take responseShare more.
 	limit int64
+	// headLimit bounds the heads that are not complete; 0 is no limit. It is a share of their
+	// own: requests that wait with long bodies must not keep others from arriving.
+	headLimit int64
 }
 
+// ReserveHead implements clientconn.Memory.
+func (l *byteLimiter) ReserveHead(n int64) bool {
+	if heads := l.heads.Add(n); l.headLimit > 0 && heads > l.headLimit {
+		l.heads.Add(-n)
+		return false
+	}
+	heldHeadBytes.Add(float64(n))
+	return true
+}
+
+// ReleaseHead implements clientconn.Memory.
+func (l *byteLimiter) ReleaseHead(n int64) {
+	l.heads.Add(-n)
+	heldHeadBytes.Add(float64(-n))
+}
+
+// ReserveRequest implements clientconn.Memory.
+func (l *byteLimiter) ReserveRequest(n int64) bool { return l.reserve(n, l.limit) }
+
+// ReleaseRequest implements clientconn.Memory.
+func (l *byteLimiter) ReleaseRequest(n int64) { l.release(n) }
+
 // reserve reserves n bytes and reports whether no more than the limit are held then; a
 // limit of 0 is none.
 func (l *byteLimiter) reserve(n, limit int64) bool {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -69,4 +69,7 @@
 	// MaxHeldBodyBytes bounds the total size of the request bodies that are held at
 	// once; 0 is no limit.
 	MaxHeldBodyBytes int64
+	// MaxHeldHeadBytes bounds the total size of the heads of requests that have not arrived
+	// completely; 0 is no limit.
+	MaxHeldHeadBytes int64
 }
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -34,6 +34,8 @@
 	mu       sync.Mutex
 	open     map[*Conn]struct{}
 	stopping bool
+	// limits is nil if connections are not limited.
+	limits *limiter
 }
 
 // NewTracker returns a tracker without connections.
@@ -70,10 +72,25 @@
 	return c
 }
 
-// Conn is a connection of a client.
+// Conn is a connection of a client. While a head arrives, it holds the bytes and passes them to
+// net/http when the head is complete, which takes several times their size.
 type Conn struct {
 	net.Conn
-	mu sync.Mutex
+	// limits is nil if the connection is not limited.
+	limits *limiter
+	// held holds bytes that net/http has not got: an incomplete head, or what is left of a
+	// complete one if heldComplete is set. Only Read uses both.
+	held         headBuffer
+	heldComplete bool
+	mu           sync.Mutex
+	// headBegan is when Read began to wait for the rest of a head; zero while it does not.
+	// requestedDeadline is the read deadline that net/http, or a stop, wants.
+	headBegan, requestedDeadline time.Time
+	// headReserved and requestReserved are what is reserved for the held bytes, and for what
+	// net/http holds of complete heads.
+	headReserved, requestReserved int64
+	// closedBy is the limit that closed the connection, or empty.
+	closedBy limitName
 	// active is the state that net/http reported last: a request is being answered.
 	active bool
 	// unusedSince is when the connection was opened, last received a byte or became idle.
@@ -94,28 +111,69 @@
 
 // Accept implements net.Listener.
 func (l trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		out := &Conn{Conn: c, unusedSince: time.Now(), limits: l.tracker.limits}
+		if l.tracker.admit(out) {
+			return out, nil
+		}
+		// The error is ignored: nothing was sent on the connection.
+		_ = c.Close()
 	}
-	out := &Conn{Conn: c, unusedSince: time.Now()}
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
-	l.tracker.open[out] = struct{}{}
-	return out, nil
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	if n := c.takeHeld(b); n > 0 {
+		return n, nil
+	}
+	for {
+		c.awaitHead()
+		n, err := c.Conn.Read(b)
+		switch c.received(b[:n], err) {
+		case deliver:
+			return c.deliver(b, n, err)
+		case hold:
+			if !c.holdBytes(b[:n]) {
+				c.dropHeld()
+				return 0, errClosedByLimit
+			}
+		case drop:
+			c.dropHeld()
+			return 0, errClosedByLimit
+		}
+		if err != nil {
+			c.dropHeld()
+			return 0, err
+		}
+	}
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// SetReadDeadline implements net.Conn. While a head arrives, its own deadline is in force, but
+// a deadline in the past ends a read at once.
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
-		c.requests.add(b[:n])
-		c.unusedSince = time.Now()
+	c.requestedDeadline = t
+	return c.applyReadDeadline()
+}
+
+// applyReadDeadline sets the read deadline that is in force.
+func (c *Conn) applyReadDeadline() error {
+	t := c.requestedDeadline
+	ended := !t.IsZero() && t.Before(c.headBegan)
+	if !c.headBegan.IsZero() && !ended {
+		t = c.headBegan.Add(c.limits.HeadTimeout)
 	}
-	c.lost = c.lost || n == 0 && err != nil && !isTimeout(err) && !errors.Is(err, net.ErrClosed)
-	return n, err
+	return c.Conn.SetReadDeadline(t)
 }
 
 // CloseWrite lets net/http end a response before the client has sent its whole
@@ -170,7 +228,8 @@
 	state.Unanswered = state.Unanswered || hasUnreadBytes(c.Conn)
 	if closes(state) {
 		// The error is ignored: the connection is closed already.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.requestedDeadline = time.Unix(1, 0)
+		_ = c.applyReadDeadline()
 	}
 }
 
@@ -205,10 +264,16 @@
 	if s == http.StateIdle {
 		c.unusedSince = time.Now()
 	}
+	if s == http.StateIdle || s == http.StateClosed || s == http.StateHijacked {
+		c.releaseRequest()
+	}
+	if s == http.StateClosed || s == http.StateHijacked {
+		c.releaseHead()
+	}
 	c.mu.Unlock()
 	t.mu.Lock()
 	if s == http.StateClosed || s == http.StateHijacked {
-		delete(t.open, c)
+		t.remove(c)
 	}
 	stopping := t.stopping
 	t.mu.Unlock()
--- a/internal/clientconn/framing.go
+++ b/internal/clientconn/framing.go
@@ -10,6 +10,10 @@
 // frame a body are shorter.
 const maxFieldBytes = 128
 
+// fieldBytes is what net/http holds for a header field beside its bytes: its name and value as
+// strings, a list of values and an entry of a map.
+const fieldBytes = 128
+
 // framePart is a part of an HTTP/1.1 request.
 type framePart int
 
@@ -36,6 +40,38 @@
 	// left is the number of bytes of the body, or of the chunk, that have not arrived.
 	left             int64
 	chunked, trailer bool
+	// heads is the number of heads that are complete, and headMemory what net/http may hold
+	// for those that were completed since takeHeadMemory was called.
+	heads      int
+	headMemory int64
+	// headBytes and fields are the size and the number of lines of the head that arrives, or
+	// that arrived last.
+	headBytes, fields int
+	// unframed says that the length of the body is not known.
+	unframed bool
+	// malformed says that the request line of this head is none, so that net/http refuses it.
+	malformed bool
+}
+
+// inHead reports whether a head has begun to arrive and is not complete.
+func (r *requestCounter) inHead() bool {
+	return r.part == partRequestLine || r.part == partField && !r.trailer
+}
+
+// takeHeadMemory returns what net/http may hold for the heads that were completed since the
+// last call, in bytes.
+func (r *requestCounter) takeHeadMemory() int64 {
+	n := r.headMemory
+	r.headMemory = 0
+	return n
+}
+
+// resync is called when net/http, which has taken the given number of requests, waits for the
+// bytes of a head. If the framing says otherwise it was lost, and the next byte begins a request.
+func (r *requestCounter) resync(taken int) {
+	if r.part != partNone && !r.inHead() {
+		r.begun, r.part = taken, partNone
+	}
 }
 
 // add counts the requests that begin in b.
@@ -48,7 +84,7 @@
 			// Clients may send empty lines after a request.
 			if b = bytes.TrimLeft(b, "\r\n"); len(b) > 0 {
 				r.begun++
-				*r = requestCounter{begun: r.begun, part: partRequestLine, line: r.line[:0]}
+				*r = requestCounter{begun: r.begun, heads: r.heads, headMemory: r.headMemory, part: partRequestLine, line: r.line[:0]}
 			}
 		case partBody:
 			n := min(r.left, int64(len(b)))
@@ -69,6 +105,12 @@
 	if end >= 0 {
 		part = b[:end]
 	}
+	if r.inHead() {
+		r.headBytes += len(part)
+		if end >= 0 {
+			r.headBytes++
+		}
+	}
 	r.line = append(r.line, part[:min(len(part), maxFieldBytes-len(r.line))]...)
 	if end < 0 {
 		return nil
@@ -82,7 +124,11 @@
 	switch r.part {
 	case partRequestLine:
 		r.part = partField
+		r.malformed = len(r.line) < maxFieldBytes && !strings.Contains(line, " HTTP/")
 	case partField:
+		if !r.trailer {
+			r.fields++
+		}
 		if r.field != "" && (strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t")) {
 			r.field += line[:min(len(line), max(maxFieldBytes-len(r.field), 0))]
 			return
@@ -111,12 +157,15 @@
 func (r *requestCounter) addField(field string) {
 	name, value, _ := strings.Cut(field, ":")
 	value = strings.TrimSpace(value)
+	framesBody := strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding")
 	switch {
 	case r.trailer, field == "":
+	case framesBody && len(field) >= maxFieldBytes:
+		r.unframed = true // the end of the value is not known
 	case strings.EqualFold(name, "Content-Length"):
 		n, err := strconv.ParseInt(value, 10, 64)
 		if err != nil || n < 0 {
-			r.part = partUnknown
+			r.unframed = true
 			return
 		}
 		r.left = n
@@ -127,9 +176,15 @@
 
 // headEnded is called at the end of the head, and of the trailer.
 func (r *requestCounter) headEnded() {
+	if !r.trailer {
+		r.heads++
+		r.headMemory += int64(r.headBytes) + int64(r.fields)*fieldBytes
+	}
 	switch {
 	case r.trailer:
 		r.part = partNone
+	case r.unframed:
+		r.part = partUnknown
 	case r.chunked:
 		r.part = partChunkSize
 	case r.left > 0:
