--- a/gateway/options.go
+++ b/gateway/options.go
@@ -73,4 +73,7 @@
 	// upstream began: for a stream at its first event, for another request with the time at
 	// which it was sent to the upstream that answered.
 	OnBegan func(account string, at time.Time)
+	// MaxHeldHeadBytes bounds the total size of the heads of requests that have not arrived
+	// completely; 0 is no limit.
+	MaxHeldHeadBytes int64
 }
