headroom, gateway: place streams by the estimated time to their first event

Cause: under overload nearly nothing is refused; prompts are read for requests that are cut, and load queries are repeated while requests wait. Change: package headroom estimates the time to the first event at each engine that was asked and decides to place, ask once more or refuse. Other services are served as before. Run: go test -race -count=1 ./gateway ./placement ./platform/... No tests of headroom yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryroad/gooseberryroad/cutover"
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
+	"github.com/gooseberryroad/gooseberryroad/headroom"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/quarantine"
 	"github.com/gooseberryroad/gooseberryroad/registry"
@@ -36,6 +37,11 @@
 	rnd     *rand.Rand
 	tracker *placement.Tracker
 	budgets map[string]*retrybudget.Budget
+	// headroom estimates times to the first event. pacedAt is when an upstream of a service
+	// last reported a pace. lines order the streams that wait for the retry budget.
+	headroom *headroom.Tracker
+	pacedAt  map[string]time.Time
+	lines    map[string]*headroom.Line
 	// cutovers holds the moves between versions, by service.
 	cutovers map[string]*cutover.Cutover
 	// rejected holds the versions that get no requests because an earlier order reverted
@@ -69,7 +75,8 @@
 	stopEnds, endOfStop := context.WithCancel(context.Background())
 	return &Gateway{
 		o: o, started: time.Now(), rnd: o.Rand, stopEnds: stopEnds, endOfStop: endOfStop,
-		tracker: placement.NewTracker(o.DataCentre, o.Rand),
+		tracker:  placement.NewTracker(o.DataCentre, o.Rand),
+		headroom: headroom.NewTracker(), pacedAt: map[string]time.Time{}, lines: map[string]*headroom.Line{},
 		budgets: map[string]*retrybudget.Budget{}, cutovers: map[string]*cutover.Cutover{},
 		verdicts:    map[string]cutover.Rejected{},
 		meters:      map[string]*cutover.Meter{},
@@ -131,6 +138,7 @@
 	limitedUpstreams.Set(float64(g.tracker.LimitedUpstreams()))
 	g.updateCutovers(v, time.Now())
 	g.forgetRemovedRoutes(v)
+	g.retainHeadroom(v)
 	g.adopted.DropUnregistered(v.All)
 	g.crashes.Merge(v.Crashes, time.Now())
 	g.updatePartReports(v)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -29,11 +29,14 @@
 // request is a client's request with what admission found out about it.
 type request struct {
 	*Call
-	route     *routes.Route
-	service   string
-	engine    *routes.Engine
-	account   string
-	arrivedAt time.Time
+	route   *routes.Route
+	service string
+	engine  *routes.Engine
+	account string
+	// priority is 0 for the most urgent requests. sendsPriority says that engines are told it.
+	priority      int
+	sendsPriority bool
+	arrivedAt     time.Time
 	// deadline is when the gateway must respond to the client.
 	deadline time.Time
 	version  int64
@@ -159,6 +162,8 @@
 	if s, ok := view.Table.Service(r.service); ok {
 		r.engine = s.Engine
 	}
+	r.priority = view.Table.Priority(route, r.account)
+	r.sendsPriority = r.engine != nil && view.Table.RanksRequests(r.service)
 	r.deadline = deadline(call.Timeout, route.Timeout, arrived)
 	return r, nil
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -91,3 +92,8 @@
 	}
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_cutover_outcomes_total{version="` + version + `",outcome="` + outcome + `"}`).Inc()
 }
+
+// countAdmission counts the decisions about streams that are placed by estimates.
+func countAdmission(route, decision string) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_admissions_total{route=` + strconv.Quote(route) + `,decision="` + decision + `"}`).Inc()
+}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -119,6 +119,8 @@
 
 // EngineRun is a run that an engine lists in its report.
 type EngineRun struct {
+	// ID is the ID of the client's attempt.
+	ID string
 	// Tokens is the number of its tokens in the KV cache, Events that of the events
 	// generated so far: a run without any is still reading its prompt.
 	Tokens int
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -68,7 +68,13 @@
 		// The upstreams are ranked again because some may have left during the wait for
 		// the retry budget.
 		ranked := s.candidates()
-		if s.r.engine != nil {
+		if s.search != nil && len(ranked) > 0 {
+			p, outcome := s.search.place(ctx, ranked)
+			if outcome != searchWait {
+				return p, outcome == searchPlaced
+			}
+			ranked = nil
+		} else if s.r.engine != nil {
 			ranked = s.g.rankByLoad(ctx, s.r, ranked, s.attempts > 0)
 		}
 		// A load query costs nothing from the retry budget, while a refusal does.
@@ -77,7 +83,7 @@
 				return s.withCopyTarget(assignment{upstream: in}, ranked), true
 			}
 		}
-		giveUpAt := earlier(s.r.arrivedAt.Add(time.Duration(streamSearchShare*float64(s.r.route.TargetLatency))), s.r.lastSend())
+		giveUpAt := earlier(s.r.arrivedAt.Add(time.Duration(s.searchShare()*float64(s.r.route.TargetLatency))), s.r.lastSend())
 		permitUntil := giveUpAt
 		if !s.lastEventAt.IsZero() {
 			permitUntil = earlier(s.lastEventAt.Add(maxContinueWait), s.r.lastSend())
@@ -134,7 +140,7 @@
 // before it tries one that failed lately, because that one may accept the
 // stream and then stay silent.
 func (s *stream) candidates() []placement.Ranked {
-	ranked := placement.WithoutFull(s.g.rank(s.r, s.excluded))
+	ranked := s.withoutFull(s.g.rank(s.r, s.excluded))
 	if s.runs == 0 {
 		return ranked
 	}
@@ -162,6 +168,9 @@
 		}
 		purpose, until = retrybudget.PurposeSearch, s.r.arrivedAt.Add(time.Duration(share*float64(s.r.route.TargetLatency)))
 	}
+	if s.search != nil {
+		return s.search.awaitTurn(ctx, purpose, until)
+	}
 	for !s.g.allowRetry(s.r.service, purpose) {
 		wait := min(time.Until(until), maxRetryPause)
 		if wait <= 0 || !pause.For(ctx, wait) {
@@ -396,7 +405,7 @@
 
 // queryReport asks an engine for its state and records its load in the tracker.
 func (g *Gateway) queryReport(ctx context.Context, in registry.Instance, id string) (EngineReport, bool) {
-	body, err := g.ask(ctx, in, http.MethodGet, g.o.Protocol.ReportTarget(), nil)
+	body, header, err := g.askWithHeader(ctx, in, http.MethodGet, g.o.Protocol.ReportTarget(), nil)
 	if err != nil {
 		return EngineReport{Verdict: failover.VerdictUnreachable}, false
 	}
@@ -406,7 +415,8 @@
 		return EngineReport{Verdict: failover.VerdictUnknown}, false
 	}
 	now := time.Now()
-	g.withTracker(func(b *placement.Tracker) { b.SetLoad(in.ID, report.Load, now) })
+	current := g.recordReport(in, report, header, now)
+	g.withTracker(func(b *placement.Tracker) { b.SetLoad(in.ID, current, now) })
 	return report, true
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/gooseberryroad/gooseberryroad/failover"
+	"github.com/gooseberryroad/gooseberryroad/headroom"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/retrybudget"
@@ -35,6 +36,8 @@
 	// restoreFrom is the copy from which the run continues; nil for a run that
 	// reads its prompt.
 	restoreFrom *CacheCopy
+	// ticket identifies the run in the estimates; 0 is none.
+	ticket headroom.Ticket
 }
 
 // stream is one client's stream over all of its runs on upstreams.
@@ -62,6 +65,8 @@
 	runs       int
 	runEvents  int
 	stopReason string
+	// search is set if the stream is placed by estimates.
+	search *headroomSearch
 	// retryAfter is when the client may come back; 0 is not known.
 	retryAfter time.Duration
 }
@@ -73,6 +78,9 @@
 	o.Resumable = r.route.Resumable
 	o.MaxRuns = max(r.route.MaxAttempts, 1)
 	s := &stream{g: g, r: r, w: w, state: failover.New(o), lastEventID: r.LastEventID, excluded: map[string]bool{}}
+	if g.usesHeadroom(r) {
+		s.search = &headroomSearch{s: s}
+	}
 	ctx, ended := g.endWithStop(ctx, func() bool { return !s.headSent.Load() })
 	defer ended()
 	p, ok := s.findUpstream(ctx)
@@ -192,6 +200,7 @@
 			b.AddPrefills(p.upstream.ID, -1)
 		}
 	})
+	defer g.withHeadroom(func(h *headroom.Tracker) { h.Ended(p.ticket, time.Now()) })
 	// Cancelling the attempt makes the upstream stop before the stream continues
 	// elsewhere.
 	runCtx, cancel := context.WithCancel(ctx)
@@ -250,6 +259,7 @@
 			}
 			if readingPrompt {
 				firstEvent = time.Since(began)
+				g.withHeadroom(func(h *headroom.Tracker) { h.FirstEvent(p.ticket, time.Now()) })
 				if !countedSlow {
 					g.recordOutcome(s.r, p.upstream, false, began)
 				}
@@ -330,6 +340,9 @@
 		s.attemptTracker.Attempted(m.verdict.maybeReceived())
 		s.excluded[p.upstream.ID] = true
 		s.g.leaveTrial(s.r, p.upstream)
+		if m.verdict == verdictNotRun {
+			s.g.withHeadroom(func(h *headroom.Tracker) { h.Refused(p.ticket, now) })
+		}
 		s.g.withTracker(func(b *placement.Tracker) {
 			switch m.verdict {
 			case verdictNotRun:
@@ -407,6 +420,9 @@
 func (s *stream) read(ctx context.Context, p assignment, out *eventQueue) {
 	send := func(m runMessage) bool { return out.send(ctx, m) }
 	a := Attempt{Call: s.r.Call, Instance: p.upstream, Account: s.r.account, TimeLeft: s.r.timeLeft(time.Now()), LastEventID: s.lastEventID, CopyTo: p.copyTo.Address, RestoreFrom: p.restoreFrom}
+	if s.r.sendsPriority {
+		a.Priority = &s.r.priority
+	}
 	sentAt := time.Now()
 	resp, err := s.g.o.Pool.Do(ctx, s.g.upstreamRequest(s.r, a))
 	if err != nil {
@@ -418,6 +434,7 @@
 	s.g.recordNotices(p.upstream, head, s.r.ID, sentAt)
 	if head.Load != nil {
 		s.g.withTracker(func(b *placement.Tracker) { b.SetLoad(p.upstream.ID, *head.Load, time.Now()) })
+		s.g.recordPace(s.r.service, *head.Load)
 	}
 	if resp.Status != http.StatusOK || !head.Sealed || head.NotRun {
 		send(s.readFailure(resp.Status, resp.Header, resp.Body, head))
--- /dev/null
+++ b/headroom/estimate.go
@@ -0,0 +1,212 @@
+package headroom
+
+import "time"
+
+// Estimate is the estimated time to the first event of a request at an engine, with the
+// parts of it.
+type Estimate struct {
+	// Known says that the engine's speed and its load are known.
+	Known bool
+	// Reported says that the engine's load is known.
+	Reported bool
+	// Time is the sum: the tokens that are read before the request and its own, by the
+	// speed, and the wait for a slot.
+	Time time.Duration
+	// Ahead is the number of prompt tokens that are read before the request, Own that of the
+	// request, and Held the part of its prompt that the engine still holds.
+	Ahead, Own float64
+	Held       int
+	// Speed is in prompt tokens a millisecond.
+	Speed float64
+	// SlotWait is the time for which the wait for a slot outlasts the reading of the prompts
+	// ahead.
+	SlotWait time.Duration
+	// Idle says that the engine has a free slot and no prompt to read before this one.
+	Idle bool
+	// Full says that all slots are taken, none of them by a less urgent run.
+	Full bool
+}
+
+// Fleet is the number of daemons that send requests to a service and of its engines.
+type Fleet struct{ Daemons, Engines int }
+
+// load returns the load of an engine with the requests that this daemon sent since its
+// last report.
+func (t *Tracker) load(e *engine, _ time.Time) Load {
+	l := e.report.Listed
+	if e.report.Current != nil {
+		l = *e.report.Current
+	}
+	for _, x := range e.sent {
+		if x.at.After(e.reportAt) {
+			l.Running++
+		}
+	}
+	if slots := e.report.Slots; slots > 0 && l.Running > slots {
+		l.Waiting += l.Running - slots
+		l.Running = slots
+	}
+	return l
+}
+
+// Estimate returns the estimate for a request at an engine.
+func (t *Tracker) Estimate(id string, r Request, f Fleet, now time.Time) Estimate {
+	e, s := t.engines[id], t.service(r.Service)
+	var est Estimate
+	est.Speed = t.speed(e, s)
+	est.Held = t.held(e, r.Parts, now)
+	tokens := float64(r.Tokens)
+	if r.Tokens == 0 {
+		tokens = s.read
+	}
+	est.Own = max(tokens-float64(est.Held), 0)
+	if e == nil || e.reportAt.IsZero() || now.Sub(e.reportAt) > maxKnownAge {
+		return est
+	}
+	est.Reported = true
+	known, waiting, hasLessUrgent := t.tokensAhead(e, s, r, now)
+	l := t.load(e, now)
+	slotsTaken := e.report.Slots > 0 && l.Running >= e.report.Slots
+	est.Full = slotsTaken && !hasLessUrgent
+	est.Idle = known == 0 && !slotsTaken
+	est.Ahead = known
+	if !est.Idle {
+		est.Ahead += t.unseen(e, s, r, f, now)
+	}
+	if est.Speed <= 0 || tokens <= 0 {
+		return est
+	}
+	est.Known = true
+	ahead := milliseconds(est.Ahead / est.Speed)
+	if est.Full && s.output > 0 {
+		hold := s.output + milliseconds(s.read/est.Speed)
+		wait := time.Duration((waiting + 1) * float64(hold) / float64(e.report.Slots))
+		est.SlotWait = max(wait-ahead, 0)
+	}
+	est.Time = ahead + milliseconds(est.Own/est.Speed) + est.SlotWait
+	if !est.Idle {
+		est.Time = time.Duration(float64(est.Time) / (1 - t.moreUrgentShare(s, r, f, est.Speed, now)))
+	}
+	return est
+}
+
+// tokensAhead returns the tokens of the prompts that an engine reads before that of the
+// request, how many of them belong to requests that wait for a slot, and whether a less
+// urgent run has a slot, which the engine would give to the request.
+func (t *Tracker) tokensAhead(e *engine, s *service, r Request, now time.Time) (tokens, waiting float64, hasLessUrgent bool) {
+	own := map[string]*sent{}
+	for _, x := range e.sent {
+		own[x.request.ID] = x
+	}
+	listed := map[string]bool{}
+	rest := s.read
+	if rest == 0 {
+		rest = float64(r.Tokens)
+	}
+	// What the engine has read since its report.
+	progress := t.speed(e, s) * float64(now.Sub(e.reportAt)) / float64(time.Millisecond)
+	for _, run := range e.report.Runs {
+		x := own[run.ID]
+		if x != nil {
+			listed[run.ID] = true
+		}
+		if run.Priority > r.Priority {
+			hasLessUrgent = true
+			continue
+		}
+		switch {
+		case run.Events > 0 || x != nil && !x.firstEventAt.IsZero():
+		case x != nil:
+			tokens += x.read
+		case rest > 0:
+			// An engine that lists the tokens of a prompt before they are read lists all of
+			// them at once.
+			left := rest - float64(run.Tokens)
+			if left <= 0 {
+				left = rest / 2
+			}
+			tokens += left
+		}
+	}
+	tokens = max(tokens-progress, 0)
+	// The requests of this daemon that the report does not list.
+	unlisted := 0.0
+	for _, x := range e.sent {
+		if listed[x.request.ID] || !x.firstEventAt.IsZero() {
+			continue
+		}
+		if !x.at.After(e.reportAt) {
+			unlisted++
+		}
+		if x.request.Priority <= r.Priority {
+			tokens += x.read
+		}
+	}
+	// Those of other daemons: waiting ones, and those that arrived after the list was made.
+	others := float64(e.report.Listed.Waiting)
+	if c := e.report.Current; c != nil {
+		others = float64(c.Running + c.Waiting - e.report.Listed.Running)
+	}
+	others = max(others-unlisted, 0) * t.urgentShare(s, r.Priority, now)
+	return tokens + others*rest, float64(t.load(e, now).Waiting) * t.urgentShare(s, r.Priority, now), hasLessUrgent
+}
+
+// urgentShare returns the part of the requests of a service that are as urgent as the given
+// priority or more, by what this daemon sent.
+func (t *Tracker) urgentShare(s *service, priority int, now time.Time) float64 {
+	urgent, all := 0.0, 0.0
+	for p := range s.rates {
+		s.rates[p].decay(now)
+		all += s.rates[p].requests
+		if p <= priority {
+			urgent += s.rates[p].requests
+		}
+	}
+	if all < 1 {
+		return 1
+	}
+	return urgent / all
+}
+
+// unseen returns the tokens of prompts that other daemons sent to an engine since its report
+// was made, by the rate of this daemon.
+func (t *Tracker) unseen(e *engine, s *service, r Request, f Fleet, now time.Time) float64 {
+	age := now.Sub(e.reportAt)
+	if e.report.Current == nil {
+		age += MaxReportAge
+	}
+	return float64(age) / float64(time.Millisecond) * t.tokenRate(s, 0, r.Priority, f, now) * float64(max(f.Daemons-1, 0)) / float64(max(f.Daemons, 1))
+}
+
+// tokenRate returns the prompt tokens a millisecond that all daemons send to an engine with
+// priorities from first to last, by what this daemon sends.
+func (t *Tracker) tokenRate(s *service, first, last int, f Fleet, now time.Time) float64 {
+	tokens := 0.0
+	for p := first; p <= min(last, priorities-1); p++ {
+		s.rates[p].decay(now)
+		tokens += s.rates[p].tokens
+	}
+	perMs := tokens / (float64(rateWindow) / float64(time.Millisecond))
+	return perMs * float64(max(f.Daemons, 1)) / float64(max(f.Engines, 1))
+}
+
+// maxMoreUrgentShare bounds the share of an engine that more urgent requests are taken to
+// need: the rate of one daemon is known roughly only.
+const maxMoreUrgentShare = 0.6
+
+// moreUrgentShare returns the share of an engine's speed that more urgent requests use, which
+// arrive while a request waits and are read before it.
+func (t *Tracker) moreUrgentShare(s *service, r Request, f Fleet, speed float64, now time.Time) float64 {
+	return min(t.tokenRate(s, 0, r.Priority-1, f, now)/speed, maxMoreUrgentShare)
+}
+
+// speed returns the learnt speed of an engine, shrunk towards the mean of its service; 0 is
+// unknown.
+func (t *Tracker) speed(e *engine, s *service) float64 {
+	if e == nil || e.samples == 0 {
+		return s.speed
+	}
+	return (e.samples*e.speed + priorSamples*s.speed) / (e.samples + priorSamples)
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/headroom/headroom.go
@@ -0,0 +1,288 @@
+package headroom
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxReportAge is how old the list of runs in an engine's report can be when it arrives.
+	MaxReportAge = 300 * time.Millisecond
+	// maxKnownAge is the age from which a report is not used any more: an engine reads
+	// several prompts in that time.
+	maxKnownAge = 2 * time.Second
+	// rateWindow is the time constant of the rates of sent requests. Shorter, the rate of one
+	// daemon of many is mostly noise; longer, it lags behind a burst.
+	rateWindow = 3 * time.Second
+	// sampleWeight is the weight of the newest sample in moving averages.
+	sampleWeight = 0.2
+	// priorSamples is the number of samples of one engine at which its own speed and the mean
+	// of its service weigh the same.
+	priorSamples = 3
+	// minSampleTokens is the least number of prompt tokens from which a speed is learnt: the
+	// time of a shorter prompt is mostly that of the network.
+	minSampleTokens = 256
+	// maxSamples bounds the weight of an engine's own speed against the mean.
+	maxSamples = 20
+	// fewSamples is the number of speeds of a service below which one is learnt from any
+	// first event, however much work was ahead of it.
+	fewSamples = 5
+	// priorities is the number of priorities; 0 is the most urgent.
+	priorities = 10
+)
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is a stream that is to be placed.
+type Request struct {
+	// ID identifies the client's attempt.
+	ID       string
+	Service  string
+	Priority int
+	// Tokens is the length of the prompt; 0 is unknown. Parts are its parts in their order,
+	// which may be fewer tokens.
+	Tokens int
+	Parts  []Part
+}
+
+// Run is a run in an engine's report.
+type Run struct {
+	ID string
+	// Tokens is the number of its tokens in the KV cache, Events that of its events: a run
+	// without any is still reading its prompt.
+	Tokens   int
+	Events   int64
+	Priority int
+}
+
+// Load is the number of requests at an engine.
+type Load struct{ Running, Waiting int }
+
+// Report is what an engine reports. Runs and Listed may be MaxReportAge old.
+type Report struct {
+	Runs   []Run
+	Listed Load
+	// Current is the load at the moment of the answer; nil if it is not known.
+	Current *Load
+	// Slots is the number of requests that run at once; 0 is unknown.
+	Slots int
+}
+
+// Ticket identifies a request that was sent; 0 is none.
+type Ticket uint64
+
+// sent is a request of this daemon that has not ended.
+type sent struct {
+	request Request
+	engine  string
+	at      time.Time
+	// read is the number of tokens of the prompt that the engine has to read.
+	read float64
+	// ahead is the number of tokens that were read before it by the estimate, and slotWait
+	// the estimated wait for a slot.
+	ahead    float64
+	slotWait time.Duration
+	// reported says that ahead is based on a report of the engine.
+	reported     bool
+	ticket       Ticket
+	firstEventAt time.Time
+}
+
+type engine struct {
+	service  string
+	report   Report
+	reportAt time.Time
+	sent     []*sent
+	// speed is the learnt speed in prompt tokens a millisecond, from samples samples.
+	speed, samples float64
+	parts          map[string]*heldPart
+}
+
+type service struct {
+	speed, samples float64
+	// read is the mean number of tokens that a prompt leaves to read.
+	read float64
+	// output is the mean time from the first event of a run to its end.
+	output time.Duration
+	rates  [priorities]rate
+	// refusesWhenFull says that an engine turned a request away while all its slots were taken.
+	refusesWhenFull bool
+}
+
+// rate is a rate of prompt tokens and requests that decays with rateWindow.
+type rate struct {
+	tokens, requests float64
+	at               time.Time
+}
+
+func (r *rate) decay(now time.Time) {
+	if !r.at.IsZero() && now.After(r.at) {
+		f := math.Exp(-float64(now.Sub(r.at)) / float64(rateWindow))
+		r.tokens, r.requests = r.tokens*f, r.requests*f
+	}
+	r.at = now
+}
+
+// Tracker holds what one daemon knows of the engines.
+type Tracker struct {
+	engines  map[string]*engine
+	services map[string]*service
+	tickets  map[Ticket]*sent
+	last     Ticket
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker() *Tracker {
+	return &Tracker{engines: map[string]*engine{}, services: map[string]*service{}, tickets: map[Ticket]*sent{}}
+}
+
+func (t *Tracker) engine(id, serviceName string) *engine {
+	e := t.engines[id]
+	if e == nil {
+		e = &engine{service: serviceName, parts: map[string]*heldPart{}}
+		t.engines[id] = e
+	}
+	return e
+}
+
+func (t *Tracker) service(name string) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Retain forgets the engines that are not registered and have no request of this daemon, and
+// the services for which keepService returns false.
+func (t *Tracker) Retain(registered func(engine string) bool, keepService func(service string) bool) {
+	for id, e := range t.engines {
+		if len(e.sent) == 0 && !registered(id) {
+			delete(t.engines, id)
+		}
+	}
+	for name := range t.services {
+		if !keepService(name) {
+			delete(t.services, name)
+		}
+	}
+}
+
+// Report records an engine's report.
+func (t *Tracker) Report(id, serviceName string, r Report, now time.Time) {
+	e := t.engine(id, serviceName)
+	e.report, e.reportAt = r, now
+}
+
+// Sent records that a request is sent to an engine, with the estimate by which it was
+// placed there. The caller passes the ticket to FirstEvent, Refused and Ended.
+func (t *Tracker) Sent(id string, r Request, est Estimate, now time.Time) Ticket {
+	e := t.engine(id, r.Service)
+	t.last++
+	x := &sent{request: r, engine: id, at: now, read: float64(max(r.Tokens-t.held(e, r.Parts, now), 0)), ahead: est.Ahead, slotWait: est.SlotWait, reported: est.Reported, ticket: t.last}
+	e.sent, t.tickets[t.last] = append(e.sent, x), x
+	s := t.service(r.Service)
+	if r.Tokens > 0 {
+		if s.read == 0 {
+			s.read = x.read
+		} else {
+			s.read += sampleWeight * (x.read - s.read)
+		}
+	}
+	rt := &s.rates[clampPriority(r.Priority)]
+	rt.decay(now)
+	rt.tokens += x.read
+	rt.requests++
+	return t.last
+}
+
+// FirstEvent records the first event of a request that was sent.
+func (t *Tracker) FirstEvent(ticket Ticket, now time.Time) {
+	x := t.tickets[ticket]
+	if x == nil || !x.firstEventAt.IsZero() {
+		return
+	}
+	x.firstEventAt = now
+	e := t.engines[x.engine]
+	t.learnSpeed(e, x, now)
+	t.holds(e, x.request.Parts, now)
+}
+
+// learnSpeed learns from a first event. The less work was ahead of the request, the more it
+// says: what other daemons sent in the meantime is not known.
+func (t *Tracker) learnSpeed(e *engine, x *sent, now time.Time) {
+	elapsed := float64(now.Sub(x.at)) / float64(time.Millisecond)
+	if !x.reported || x.read < minSampleTokens || elapsed <= 0 {
+		return
+	}
+	s := t.service(x.request.Service)
+	few := s.samples < fewSamples
+	if (x.ahead > x.read/2 || x.slotWait > 0) && !few {
+		return
+	}
+	if wait := float64(x.slotWait) / float64(time.Millisecond); elapsed > 2*wait {
+		elapsed -= wait
+	}
+	weight := x.read / (x.read + x.ahead)
+	speed := (x.read + x.ahead) / elapsed
+	learn := func(mean, samples *float64) {
+		*samples += weight
+		*mean += max(sampleWeight, weight / *samples) * weight * (speed - *mean)
+	}
+	if s.samples == 0 {
+		s.speed, s.samples = speed, weight
+	} else {
+		learn(&s.speed, &s.samples)
+	}
+	if e.samples == 0 {
+		e.speed, e.samples = speed, weight
+	} else {
+		learn(&e.speed, &e.samples)
+	}
+	e.samples = min(e.samples, maxSamples)
+}
+
+// Refused records that an engine turned a request away, which it did not begin.
+func (t *Tracker) Refused(ticket Ticket, now time.Time) {
+	x := t.tickets[ticket]
+	if x == nil {
+		return
+	}
+	e, s := t.engines[x.engine], t.service(x.request.Service)
+	if slots := e.report.Slots; slots > 0 && now.Sub(e.reportAt) < maxKnownAge && t.load(e, now).Running >= slots {
+		s.refusesWhenFull = true
+	}
+	t.Ended(ticket, now)
+}
+
+// Ended records that a request ended, whatever its outcome.
+func (t *Tracker) Ended(ticket Ticket, now time.Time) {
+	x := t.tickets[ticket]
+	if x == nil {
+		return
+	}
+	delete(t.tickets, ticket)
+	if e := t.engines[x.engine]; e != nil {
+		e.sent = slices.DeleteFunc(e.sent, func(o *sent) bool { return o == x })
+	}
+	if x.firstEventAt.IsZero() {
+		return
+	}
+	s := t.service(x.request.Service)
+	if took := now.Sub(x.firstEventAt); s.output == 0 {
+		s.output = took
+	} else {
+		s.output += time.Duration(sampleWeight * float64(took-s.output))
+	}
+}
+
+// Engines returns the number of engines that the tracker knows.
+func (t *Tracker) Engines() int { return len(t.engines) }
+
+func clampPriority(p int) int { return min(max(p, 0), priorities-1) }
--- a/placement/scouts.go
+++ b/placement/scouts.go
@@ -35,6 +35,8 @@
 	// limitedProbes is how many of the engines asked at once name a limit, as far as there
 	// are permits for them.
 	limitedProbes int
+	// preferred are the IDs of engines that are asked first, whatever their rank.
+	preferred []string
 	// repeat says that a refusal would count against the retry budget.
 	repeat bool
 }
@@ -49,6 +51,9 @@
 // repeat counts against the retry budget.
 func (p *ProbePlan) ForRepeat() { p.repeat = true }
 
+// ForEngines makes the plan ask some engines in its first round in addition to the others.
+func (p *ProbePlan) ForEngines(ids []string) { p.preferred = ids }
+
 // ForLimits gives engines that name a limit their share of the questions. share is the part
 // of all engines that name one, with or without a permit at this daemon. Those with a
 // permit are few in a large fleet; without it, the other engines would get nearly all
@@ -74,6 +79,8 @@
 		switch {
 		case c.Paused:
 			others = append(others, c)
+		case slices.Contains(p.preferred, c.ID):
+			targets = append(targets, c.Instance)
 		case c.Limited && limited > 0:
 			limited--
 			targets = append(targets, c.Instance)
@@ -109,6 +116,12 @@
 // Answered records an engine that reported its load.
 func (p *ProbePlan) Answered(in registry.Instance) { p.answered = append(p.answered, in) }
 
+// Choices returns the engines that answered, in their order. rank orders a list of engines
+// by what is known now.
+func (p *ProbePlan) Choices(rank func([]registry.Instance) []Ranked) []Ranked {
+	return rank(p.answered)
+}
+
 // Order returns the engines that answered and those that were not asked: those
 // with a free slot first, those whose slots are all taken last. rank orders a
 // list of engines by what is known now.
