headroom: refuse with few queries, learn from reports what other daemons send

Cause: the rate of one daemon of 75 is too noisy to tell how much more urgent work arrives at an engine, and refused clients that return cost five or ten queries each. Change: rates by priority are derived from the runs that engines list. Reports of the last 250 ms take the place of a round of queries. A request whose client gives up before its first event is refused. Engines that list reserved memory are recognised.

--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -192,12 +192,22 @@
 	g.withHeadroom(func(t *headroom.Tracker) { plan.ForEngines(t.Holders(req, maxHolders, began)) })
 	question := headroom.Question{
 		Request: req, Begun: s.begun(), Objective: r.route.TargetLatency, Arrived: r.arrivedAt, ClientDeadline: r.deadline,
-		Fleet: headroom.Fleet{Daemons: g.o.Directory.View().Daemons, Engines: len(ranked)},
 	}
 	if s.runs > 0 || s.headSent.Load() {
 		// The objective was missed or met before; what counts now is the smallest estimate.
 		question.Arrived = began
 	}
+	for _, c := range ranked {
+		question.Engines = append(question.Engines, c.ID)
+	}
+	if h.rounds == 0 {
+		g.mu.Lock()
+		d := g.headroom.DecideUnasked(question, began, g.rnd.Float64())
+		g.mu.Unlock()
+		if d.Verdict == headroom.Refuse {
+			return h.refuse(d)
+		}
+	}
 	for {
 		question.CanQuery = false
 		if h.rounds < headroom.MaxRounds {
@@ -230,13 +240,7 @@
 			h.record(d, "admitted")
 			return s.withCopyTarget(assignment{upstream: in, ticket: ticket}, plan.Order(rank)), searchPlaced
 		case headroom.Refuse:
-			decision := "refused_prompts"
-			if d.Estimate.SlotWait > 0 || d.Estimate.Full {
-				decision = "refused_slots"
-			}
-			h.record(d, decision)
-			s.stopReason, s.retryAfter = codeOverloaded, d.RetryAfter
-			return assignment{}, searchRefused
+			return h.refuse(d)
 		default:
 			order := plan.Order(rank)
 			if len(order) > 0 && !order[0].SlotsTaken && s.reserve(order[0].Instance) {
@@ -248,6 +252,17 @@
 	}
 }
 
+// refuse records the refusal of the stream, with the reason: the prompts ahead or the slots.
+func (h *headroomSearch) refuse(d headroom.Decision) (assignment, searchOutcome) {
+	decision := "refused_prompts"
+	if d.Estimate.SlotWait > 0 || d.Estimate.Full {
+		decision = "refused_slots"
+	}
+	h.record(d, decision)
+	h.s.stopReason, h.s.retryAfter = codeOverloaded, d.RetryAfter
+	return assignment{}, searchRefused
+}
+
 // decide decides and reserves a slot at the chosen engine, so that streams that are placed at
 // the same time take each other into account. The instance is empty if the engine's limit
 // leaves no permit.
@@ -275,7 +290,7 @@
 	now := time.Now()
 	h.s.g.withHeadroom(func(t *headroom.Tracker) {
 		if !est.Known {
-			est = t.Estimate(in.ID, h.request(), headroom.Fleet{Daemons: 1, Engines: 1}, now)
+			est = t.Estimate(in.ID, h.request(), now)
 		}
 		a.ticket = t.Sent(in.ID, h.request(), est, now)
 	})
--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -9,9 +9,16 @@
 const MaxRounds = 3
 
 const (
-	// safetyShare is the part of the objective that an estimate must leave: the network, and
-	// requests of other daemons that were sent at the same moment.
-	safetyShare = 0.1
+	// An estimate must leave the time of one prompt, because another daemon may send one to the
+	// same engine at the same moment, but at least minSafetyShare and at most maxSafetyShare of
+	// the objective.
+	minSafetyShare, maxSafetyShare = 0.1, 0.2
+	// recentAge is how old reports may be that take the place of a round of queries. In that
+	// time an engine reads less than one prompt.
+	recentAge = 250 * time.Millisecond
+	// minRecent is the number of such reports, and minRecentUnasked that for a refusal without
+	// any query.
+	minRecent, minRecentUnasked = 5, 10
 	// closeShare is the part of the objective within which estimates count as equal. Daemons
 	// that read the same reports would otherwise all choose the same engine.
 	closeShare = 0.05
@@ -55,12 +62,14 @@
 	// client's time ends.
 	Objective               time.Duration
 	Arrived, ClientDeadline time.Time
-	Candidates              []Candidate
+	// Engines are the IDs of all engines that may get the request, Candidates those that were
+	// asked.
+	Engines    []string
+	Candidates []Candidate
 	// Rounds is the number of rounds of queries that were made, and CanQuery says that there
 	// are further engines to ask.
 	Rounds   int
 	CanQuery bool
-	Fleet    Fleet
 }
 
 // Decision is the answer to a question.
@@ -83,7 +92,7 @@
 	smallest := -1
 	var full *option
 	for _, c := range q.Candidates {
-		est := t.Estimate(c.Engine, q.Request, q.Fleet, now)
+		est := t.Estimate(c.Engine, q.Request, now)
 		if !est.Known {
 			continue
 		}
@@ -109,14 +118,14 @@
 		return Decision{Verdict: Unknown}
 	}
 	best := options[smallest]
-	limit := q.Objective - now.Sub(q.Arrived) - time.Duration(safetyShare*float64(q.Objective))
+	limit := q.limit(best.est, now, t.service(q.Request.Service).read)
 	// An idle engine is used also if the prompt is too long for the objective: a refusal would
 	// only leave it idle.
 	idle := slices.ContainsFunc(options, func(o option) bool { return o.est.Idle })
 	if !q.Begun && best.est.Time > limit && !idle {
 		// One more round after the first one, by the rule: a request that is refused must
 		// cost little.
-		if canQuery && q.Rounds < 2 {
+		if canQuery && q.Rounds < 2 && !t.othersLate(q, minRecent, now) {
 			return Decision{Verdict: Query, Engine: best.Engine, Estimate: best.est}
 		}
 		return Decision{Verdict: Refuse, Engine: best.Engine, Estimate: best.est, RetryAfter: retryAfter(q, best.est, now, draw)}
@@ -146,6 +155,72 @@
 	return Decision{Verdict: Place, Engine: chosen.Engine, Estimate: chosen.est}
 }
 
+// DecideUnasked decides before the first round of queries: Refuse if many engines reported a
+// short time ago and leave the request no time, or if its client gives up before an idle
+// engine could have read its prompt; else Query.
+func (t *Tracker) DecideUnasked(q Question, now time.Time, draw float64) Decision {
+	s := t.service(q.Request.Service)
+	if q.Begun || s.speed <= 0 || q.Request.Tokens == 0 {
+		return Decision{Verdict: Query}
+	}
+	held := 0
+	var best *Estimate
+	engine := ""
+	for _, id := range q.Engines {
+		e := t.engines[id]
+		if e == nil {
+			continue
+		}
+		held = max(held, t.held(e, q.Request.Parts, now))
+		if now.Sub(e.reportAt) > recentAge {
+			continue
+		}
+		if est := t.Estimate(id, q.Request, now); est.Known && (best == nil || est.Time < best.Time) {
+			best, engine = &est, id
+		}
+	}
+	own := milliseconds(float64(max(q.Request.Tokens-held, 0)) / s.speed)
+	if left := q.ClientDeadline.Sub(now); own > left {
+		est := Estimate{Time: own, Own: float64(q.Request.Tokens - held), Held: held, Speed: s.speed}
+		return Decision{Verdict: Refuse, Estimate: est, RetryAfter: retryAfter(q, est, now, draw)}
+	}
+	if best != nil && t.othersLate(q, minRecentUnasked, now) {
+		return Decision{Verdict: Refuse, Engine: engine, Estimate: *best, RetryAfter: retryAfter(q, *best, now, draw)}
+	}
+	return Decision{Verdict: Query}
+}
+
+// limit returns the largest estimate with which a request is placed, relative to now. A request
+// whose client gives up before the first event is work without use too.
+func (q Question) limit(est Estimate, now time.Time, read float64) time.Duration {
+	left := min(q.Objective-now.Sub(q.Arrived), q.ClientDeadline.Sub(now))
+	prompt := milliseconds(read / max(est.Speed, 0.001))
+	objective := float64(q.Objective)
+	return left - min(max(prompt, time.Duration(minSafetyShare*objective)), time.Duration(maxSafetyShare*objective))
+}
+
+// othersLate reports whether enough engines that are no candidates reported a short time ago
+// and leave the request no time either, so that a further round would find nothing.
+func (t *Tracker) othersLate(q Question, least int, now time.Time) bool {
+	asked := map[string]bool{}
+	for _, c := range q.Candidates {
+		asked[c.Engine] = true
+	}
+	late := 0
+	for _, id := range q.Engines {
+		e := t.engines[id]
+		if asked[id] || e == nil || now.Sub(e.reportAt) > recentAge {
+			continue
+		}
+		est := t.Estimate(id, q.Request, now)
+		if !est.Known || est.Idle || est.Time <= q.limit(est, now, t.service(q.Request.Service).read) {
+			return false
+		}
+		late++
+	}
+	return late >= least
+}
+
 // retryAfter returns the time after which the client of a refused request comes again. It
 // grows with the queue, is shorter for urgent requests, and is at most a third of the time
 // that the client has left, so that it can come twice more.
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -27,9 +27,6 @@
 	Full bool
 }
 
-// Fleet is the number of daemons that send requests to a service and of its engines.
-type Fleet struct{ Daemons, Engines int }
-
 // load returns the load of an engine with the requests that this daemon sent since its
 // last report.
 func (t *Tracker) load(e *engine, _ time.Time) Load {
@@ -50,7 +47,7 @@
 }
 
 // Estimate returns the estimate for a request at an engine.
-func (t *Tracker) Estimate(id string, r Request, f Fleet, now time.Time) Estimate {
+func (t *Tracker) Estimate(id string, r Request, now time.Time) Estimate {
 	e, s := t.engines[id], t.service(r.Service)
 	var est Estimate
 	est.Speed = t.speed(e, s)
@@ -71,7 +68,7 @@
 	est.Idle = known == 0 && !slotsTaken
 	est.Ahead = known
 	if !est.Idle {
-		est.Ahead += t.unseen(e, s, r, f, now)
+		est.Ahead += t.unseen(e, s, r, now)
 	}
 	if est.Speed <= 0 || tokens <= 0 {
 		return est
@@ -85,7 +82,7 @@
 	}
 	est.Time = ahead + milliseconds(est.Own/est.Speed) + est.SlotWait
 	if !est.Idle {
-		est.Time = time.Duration(float64(est.Time) / (1 - t.moreUrgentShare(s, r, f, est.Speed, now)))
+		est.Time = time.Duration(float64(est.Time) / (1 - t.moreUrgentShare(s, r, est.Speed)))
 	}
 	return est
 }
@@ -99,6 +96,7 @@
 		own[x.request.ID] = x
 	}
 	listed := map[string]bool{}
+	halfRead := false
 	rest := s.read
 	if rest == 0 {
 		rest = float64(r.Tokens)
@@ -119,11 +117,14 @@
 		case x != nil:
 			tokens += x.read
 		case rest > 0:
-			// An engine that lists the tokens of a prompt before they are read lists all of
-			// them at once.
 			left := rest - float64(run.Tokens)
-			if left <= 0 {
-				left = rest / 2
+			if left < rest/10 {
+				// The engine lists the memory that it keeps for the prompt. It reads one at a
+				// time, which is half read on average.
+				left = rest
+				if !halfRead {
+					left, halfRead = rest/2, true
+				}
 			}
 			tokens += left
 		}
@@ -143,61 +144,63 @@
 		}
 	}
 	// Those of other daemons: waiting ones, and those that arrived after the list was made.
-	others := float64(e.report.Listed.Waiting)
-	if c := e.report.Current; c != nil {
-		others = float64(c.Running + c.Waiting - e.report.Listed.Running)
+	l := e.report.Listed
+	if e.report.Current != nil {
+		l = *e.report.Current
 	}
-	others = max(others-unlisted, 0) * t.urgentShare(s, r.Priority, now)
-	return tokens + others*rest, float64(t.load(e, now).Waiting) * t.urgentShare(s, r.Priority, now), hasLessUrgent
+	others := float64(l.Running + l.Waiting - max(len(e.report.Runs), e.report.Listed.Running))
+	others = max(others-unlisted, 0) * t.urgentShare(s, r.Priority)
+	return tokens + others*rest, float64(t.load(e, now).Waiting) * t.urgentShare(s, r.Priority), hasLessUrgent
 }
 
 // urgentShare returns the part of the requests of a service that are as urgent as the given
-// priority or more, by what this daemon sent.
-func (t *Tracker) urgentShare(s *service, priority int, now time.Time) float64 {
+// priority or more, by the prompts that engines list as being read.
+func (t *Tracker) urgentShare(s *service, priority int) float64 {
 	urgent, all := 0.0, 0.0
-	for p := range s.rates {
-		s.rates[p].decay(now)
-		all += s.rates[p].requests
+	for p, n := range s.reading {
+		all += n
 		if p <= priority {
-			urgent += s.rates[p].requests
+			urgent += n
 		}
 	}
-	if all < 1 {
+	if all == 0 {
 		return 1
 	}
 	return urgent / all
 }
 
-// unseen returns the tokens of prompts that other daemons sent to an engine since its report
-// was made, by the rate of this daemon.
-func (t *Tracker) unseen(e *engine, s *service, r Request, f Fleet, now time.Time) float64 {
+// unseen returns the tokens of prompts that were sent to an engine since its report was made.
+func (t *Tracker) unseen(e *engine, s *service, r Request, now time.Time) float64 {
 	age := now.Sub(e.reportAt)
 	if e.report.Current == nil {
 		age += MaxReportAge
 	}
-	return float64(age) / float64(time.Millisecond) * t.tokenRate(s, 0, r.Priority, f, now) * float64(max(f.Daemons-1, 0)) / float64(max(f.Daemons, 1))
+	return float64(age) / float64(time.Millisecond) * t.tokenRate(s, r.Priority)
 }
 
-// tokenRate returns the prompt tokens a millisecond that all daemons send to an engine with
-// priorities from first to last, by what this daemon sends.
-func (t *Tracker) tokenRate(s *service, first, last int, f Fleet, now time.Time) float64 {
-	tokens := 0.0
-	for p := first; p <= min(last, priorities-1); p++ {
-		s.rates[p].decay(now)
-		tokens += s.rates[p].tokens
-	}
-	perMs := tokens / (float64(rateWindow) / float64(time.Millisecond))
-	return perMs * float64(max(f.Daemons, 1)) / float64(max(f.Engines, 1))
+// tokenRate returns the prompt tokens a millisecond that arrive at an engine with the given
+// priority or a more urgent one: by Little's law from the runs that generate output and the
+// time for which they do. The rate at which this daemon sends would be the rate of too few
+// requests.
+func (t *Tracker) tokenRate(s *service, priority int) float64 {
+	if s.output <= 0 {
+		return 0
+	}
+	runs := 0.0
+	for p := 0; p <= min(priority, priorities-1); p++ {
+		runs += s.generating[p]
+	}
+	return runs * s.read / (float64(s.output) / float64(time.Millisecond))
 }
 
 // maxMoreUrgentShare bounds the share of an engine that more urgent requests are taken to
-// need: the rate of one daemon is known roughly only.
-const maxMoreUrgentShare = 0.6
+// need.
+const maxMoreUrgentShare = 0.8
 
 // moreUrgentShare returns the share of an engine's speed that more urgent requests use, which
 // arrive while a request waits and are read before it.
-func (t *Tracker) moreUrgentShare(s *service, r Request, f Fleet, speed float64, now time.Time) float64 {
-	return min(t.tokenRate(s, 0, r.Priority-1, f, now)/speed, maxMoreUrgentShare)
+func (t *Tracker) moreUrgentShare(s *service, r Request, speed float64) float64 {
+	return min(t.tokenRate(s, r.Priority-1)/speed, maxMoreUrgentShare)
 }
 
 // speed returns the learnt speed of an engine, shrunk towards the mean of its service; 0 is
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -1,7 +1,6 @@
 package headroom
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -12,9 +11,10 @@
 	// maxKnownAge is the age from which a report is not used any more: an engine reads
 	// several prompts in that time.
 	maxKnownAge = 2 * time.Second
-	// rateWindow is the time constant of the rates of sent requests. Shorter, the rate of one
-	// daemon of many is mostly noise; longer, it lags behind a burst.
-	rateWindow = 3 * time.Second
+	// reportWeight is the weight of the newest report in the mean number of runs at an engine.
+	// A request asks five engines or more; with a tenth the mean followed the engines that
+	// happened to be asked.
+	reportWeight = 0.04
 	// sampleWeight is the weight of the newest sample in moving averages.
 	sampleWeight = 0.2
 	// priorSamples is the number of samples of one engine at which its own speed and the mean
@@ -109,25 +109,14 @@
 	read float64
 	// output is the mean time from the first event of a run to its end.
 	output time.Duration
-	rates  [priorities]rate
+	// generating and reading are the mean numbers of runs of each priority, with and without
+	// events, that an engine lists. reports is the number of reports, up to 1/reportWeight.
+	generating, reading [priorities]float64
+	reports             float64
 	// refusesWhenFull says that an engine turned a request away while all its slots were taken.
 	refusesWhenFull bool
 }
 
-// rate is a rate of prompt tokens and requests that decays with rateWindow.
-type rate struct {
-	tokens, requests float64
-	at               time.Time
-}
-
-func (r *rate) decay(now time.Time) {
-	if !r.at.IsZero() && now.After(r.at) {
-		f := math.Exp(-float64(now.Sub(r.at)) / float64(rateWindow))
-		r.tokens, r.requests = r.tokens*f, r.requests*f
-	}
-	r.at = now
-}
-
 // Tracker holds what one daemon knows of the engines.
 type Tracker struct {
 	engines  map[string]*engine
@@ -178,6 +167,20 @@
 func (t *Tracker) Report(id, serviceName string, r Report, now time.Time) {
 	e := t.engine(id, serviceName)
 	e.report, e.reportAt = r, now
+	s := t.service(serviceName)
+	var generating, reading [priorities]float64
+	for _, run := range r.Runs {
+		if run.Events > 0 {
+			generating[clampPriority(run.Priority)]++
+		} else {
+			reading[clampPriority(run.Priority)]++
+		}
+	}
+	s.reports = min(s.reports+1, 1/reportWeight)
+	for p := range priorities {
+		s.generating[p] += (generating[p] - s.generating[p]) / s.reports
+		s.reading[p] += (reading[p] - s.reading[p]) / s.reports
+	}
 }
 
 // Sent records that a request is sent to an engine, with the estimate by which it was
@@ -195,10 +198,6 @@
 			s.read += sampleWeight * (x.read - s.read)
 		}
 	}
-	rt := &s.rates[clampPriority(r.Priority)]
-	rt.decay(now)
-	rt.tokens += x.read
-	rt.requests++
 	return t.last
 }
 
@@ -282,7 +281,4 @@
 	}
 }
 
-// Engines returns the number of engines that the tracker knows.
-func (t *Tracker) Engines() int { return len(t.engines) }
-
 func clampPriority(p int) int { return min(max(p, 0), priorities-1) }
