headroom: tests with a model of engines and daemons, and estimates by waiting requests

The drawn loads showed less urgent requests that were placed late where slots are short, and urgent ones that were taken to wait behind less urgent ones in the queue. Change: waiting requests count as ahead only if no less urgent run has a slot; requests of this daemon count in the wait for a slot; more urgent work counts by its share of the slots where these are short.

--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -22,9 +22,11 @@
 	// closeShare is the part of the objective within which estimates count as equal. Daemons
 	// that read the same reports would otherwise all choose the same engine.
 	closeShare = 0.05
-	// minRetryAfter and maxRetryAfter bound the time after which a refused client returns.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 10 * time.Second
+	// minRetryAfter and maxRetryAfter bound the time after which a refused client returns,
+	// shortestRetryAfter that of one with hardly any time left.
+	minRetryAfter      = 100 * time.Millisecond
+	maxRetryAfter      = 10 * time.Second
+	shortestRetryAfter = 10 * time.Millisecond
 )
 
 // Verdict is what is done with a request.
@@ -234,7 +236,7 @@
 	wait := min(max(time.Duration(mean*(0.5+draw)), minRetryAfter), maxRetryAfter)
 	if limit := q.ClientDeadline.Sub(now) / 3; wait > limit {
 		// The spread remains where the client has little time.
-		wait = time.Duration(float64(max(limit, 0)) * (0.5 + 0.5*draw))
+		wait = time.Duration(float64(max(limit, shortestRetryAfter)) * (0.5 + 0.5*draw))
 	}
 	return wait
 }
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -29,7 +29,7 @@
 
 // load returns the load of an engine with the requests that this daemon sent since its
 // last report.
-func (t *Tracker) load(e *engine, _ time.Time) Load {
+func (t *Tracker) load(e *engine) Load {
 	l := e.report.Listed
 	if e.report.Current != nil {
 		l = *e.report.Current
@@ -62,7 +62,7 @@
 	}
 	est.Reported = true
 	known, waiting, hasLessUrgent := t.tokensAhead(e, s, r, now)
-	l := t.load(e, now)
+	l := t.load(e)
 	slotsTaken := e.report.Slots > 0 && l.Running >= e.report.Slots
 	est.Full = slotsTaken && !hasLessUrgent
 	est.Idle = known == 0 && !slotsTaken
@@ -82,7 +82,7 @@
 	}
 	est.Time = ahead + milliseconds(est.Own/est.Speed) + est.SlotWait
 	if !est.Idle {
-		est.Time = time.Duration(float64(est.Time) / (1 - t.moreUrgentShare(s, r, est.Speed)))
+		est.Time = time.Duration(float64(est.Time) / (1 - t.moreUrgentShare(s, r, est, e.report.Slots)))
 	}
 	return est
 }
@@ -131,7 +131,7 @@
 	}
 	tokens = max(tokens-progress, 0)
 	// The requests of this daemon that the report does not list.
-	unlisted := 0.0
+	unlisted, ownAhead := 0.0, 0.0
 	for _, x := range e.sent {
 		if listed[x.request.ID] || !x.firstEventAt.IsZero() {
 			continue
@@ -141,6 +141,7 @@
 		}
 		if x.request.Priority <= r.Priority {
 			tokens += x.read
+			ownAhead++
 		}
 	}
 	// Those of other daemons: waiting ones, and those that arrived after the list was made.
@@ -148,9 +149,17 @@
 	if e.report.Current != nil {
 		l = *e.report.Current
 	}
-	others := float64(l.Running + l.Waiting - max(len(e.report.Runs), e.report.Listed.Running))
-	others = max(others-unlisted, 0) * t.urgentShare(s, r.Priority)
-	return tokens + others*rest, float64(t.load(e, now).Waiting) * t.urgentShare(s, r.Priority), hasLessUrgent
+	waiting = float64(l.Waiting)
+	arrived := max(float64(l.Running-max(len(e.report.Runs), e.report.Listed.Running)), 0)
+	waiting, unlisted = max(waiting-unlisted, 0), max(unlisted-waiting, 0)
+	arrived = max(arrived-unlisted, 0)
+	share := t.urgentShare(s, r.Priority)
+	if hasLessUrgent {
+		// A waiting request that is as urgent as this one would have that run's slot.
+		waiting = 0
+	}
+	ahead := min(waiting*share+ownAhead, float64(t.load(e).Waiting))
+	return tokens + (waiting+arrived)*share*rest, ahead, hasLessUrgent
 }
 
 // urgentShare returns the part of the requests of a service that are as urgent as the given
@@ -197,10 +206,19 @@
 // need.
 const maxMoreUrgentShare = 0.8
 
-// moreUrgentShare returns the share of an engine's speed that more urgent requests use, which
-// arrive while a request waits and are read before it.
-func (t *Tracker) moreUrgentShare(s *service, r Request, speed float64) float64 {
-	return min(t.tokenRate(s, r.Priority-1)/speed, maxMoreUrgentShare)
+// moreUrgentShare returns the share of an engine's speed, or of its slots if they are all
+// taken, that more urgent requests use, which arrive while a request waits and are served
+// before it.
+func (t *Tracker) moreUrgentShare(s *service, r Request, est Estimate, slots int) float64 {
+	share := t.tokenRate(s, r.Priority-1) / est.Speed
+	if est.Full && slots > 0 {
+		runs := 0.0
+		for p := 0; p < min(r.Priority, priorities); p++ {
+			runs += s.generating[p] + s.reading[p]
+		}
+		share = max(share, runs/float64(slots))
+	}
+	return min(share, maxMoreUrgentShare)
 }
 
 // speed returns the learnt speed of an engine, shrunk towards the mean of its service; 0 is
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -254,7 +254,7 @@
 		return
 	}
 	e, s := t.engines[x.engine], t.service(x.request.Service)
-	if slots := e.report.Slots; slots > 0 && now.Sub(e.reportAt) < maxKnownAge && t.load(e, now).Running >= slots {
+	if slots := e.report.Slots; slots > 0 && now.Sub(e.reportAt) < maxKnownAge && t.load(e).Running >= slots {
 		s.refusesWhenFull = true
 	}
 	t.Ended(ticket, now)
--- a/headroom/model_test.go
+++ b/headroom/model_test.go
@@ -30,16 +30,15 @@
 // modelEngine reads prompts one after the other, the most urgent first, and generates the
 // outputs of all others meanwhile.
 type modelEngine struct {
-	id            string
-	speed         float64 // prompt tokens a millisecond
-	slots         int
-	away          bool
-	running       []*modelRun
-	waiting       []*modelRun
-	held          map[string]bool
-	listed        headroom.Report
-	readTokens    float64
-	refusesQueued bool
+	id         string
+	speed      float64 // prompt tokens a millisecond
+	slots      int
+	away       bool
+	running    []*modelRun
+	waiting    []*modelRun
+	held       map[string]bool
+	listed     headroom.Report
+	readTokens float64
 }
 
 func (e *modelEngine) less(a, b *modelRun) int {
@@ -78,11 +77,18 @@
 	}
 }
 
-// free reports whether the engine has a free slot and nothing that it would read before a
-// request.
+// idle reports whether the engine has a free slot and nothing that it would read before a
+// request, now and in its list of runs, and has no run that is not in the list: a daemon cannot
+// know the priority of such a run.
 func (e *modelEngine) idle(priority int) bool {
+	if slices.ContainsFunc(e.listed.Runs, func(r headroom.Run) bool { return r.Events == 0 && r.Priority <= priority }) {
+		return false
+	}
+	if len(e.running) > len(e.listed.Runs) {
+		return false
+	}
 	ahead := slices.ContainsFunc(slices.Concat(e.running, e.waiting), func(r *modelRun) bool { return !r.hasEvent && r.request.Priority <= priority })
-	return !e.away && !ahead && len(e.running) < e.slots
+	return !e.away && !ahead && len(e.running) < e.slots && len(e.waiting) == 0
 }
 
 // modelDaemon is a daemon with a tracker of its own.
@@ -102,16 +108,17 @@
 }
 
 type modelClient struct {
-	kind             *modelKind
-	id               int
-	arrived          time.Duration
-	deadline         time.Duration
-	again            time.Duration
-	firstEvent       time.Duration
-	refusals, sends  int
-	parts            []headroom.Part
-	gaveUp           bool
-	placedAt, events time.Duration
+	kind            *modelKind
+	id              int
+	arrived         time.Duration
+	deadline        time.Duration
+	again           time.Duration
+	firstEvent      time.Duration
+	refusals, sends int
+	parts           []headroom.Part
+	lastRounds      int
+	gaveUp          bool
+	placedAt        time.Duration
 }
 
 // model is a small deterministic model of daemons, engines and clients.
@@ -130,8 +137,10 @@
 	promptTokens, hotTokens int
 	output                  time.Duration
 	patience                time.Duration
-	onPlaced                func(c *modelClient, e *modelEngine, d headroom.Decision)
-	onRefuse                func(c *modelClient, asked []*modelEngine, d headroom.Decision, now time.Duration)
+	// queryTime is how long a round of queries takes.
+	queryTime time.Duration
+	onPlaced  func(c *modelClient, e *modelEngine, d headroom.Decision)
+	onRefuse  func(c *modelClient, asked []*modelEngine, d headroom.Decision, now time.Duration)
 
 	now             time.Duration
 	count           int
@@ -342,7 +351,8 @@
 		for _, e := range asked {
 			q.Candidates = append(q.Candidates, headroom.Candidate{Engine: e.id})
 		}
-		dec := d.tracker.Decide(q, m.at(), d.rnd.Float64())
+		dec := d.tracker.Decide(q, m.at().Add(time.Duration(q.Rounds)*m.queryTime), d.rnd.Float64())
+		c.lastRounds = q.Rounds
 		m.maxRounds = max(m.maxRounds, q.Rounds)
 		switch dec.Verdict {
 		case headroom.Query:
