headroom, gateway: count runs that are not listed, wait for the first event as the objective allows

Cause: a run that an engine's list lacks was not counted if the engine counted it as running, and a stream with an objective of 10 s was moved after 8 s without an event although its engine answered, so that its prompt was read twice. Change: all running requests beyond the list count as prompts to read; the time to the first event is one and a half times the objective if that is longer, for streams placed by estimates only. Run: go test -race -count=1 ./gateway ./platform/..., go test ./headroom, vet.

--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -22,6 +22,9 @@
 	// overloadRefusalShare is the part of the latency objective within which a stream that
 	// no engine has run is refused if it is placed by estimates.
 	overloadRefusalShare = 0.125
+	// firstEventShare is the part of the latency objective for which a stream waits for its
+	// first event at an engine that answers, if that is longer than the usual time.
+	firstEventShare = 1.5
 	// maxHolders is the number of engines that are asked because they are known to hold a part
 	// of the prompt, in addition to the others.
 	maxHolders = 2
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -77,8 +77,13 @@
 	o := g.o.Failover
 	o.Resumable = r.route.Resumable
 	o.MaxRuns = max(r.route.MaxAttempts, 1)
+	placedByEstimate := g.usesHeadroom(r)
+	if placedByEstimate {
+		// A stream that waits for more urgent ones as long as its objective allows is not lost.
+		o.FirstEventTimeout = max(o.FirstEventTimeout, time.Duration(firstEventShare*float64(r.route.TargetLatency)))
+	}
 	s := &stream{g: g, r: r, w: w, state: failover.New(o), lastEventID: r.LastEventID, excluded: map[string]bool{}}
-	if g.usesHeadroom(r) {
+	if placedByEstimate {
 		s.search = &headroomSearch{s: s}
 	}
 	ctx, ended := g.endWithStop(ctx, func() bool { return !s.headSent.Load() })
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -144,13 +144,14 @@
 			ownAhead++
 		}
 	}
-	// Those of other daemons: waiting ones, and those that arrived after the list was made.
+	// Those of other daemons: waiting ones, and those that are not listed.
 	l := e.report.Listed
 	if e.report.Current != nil {
 		l = *e.report.Current
 	}
 	waiting = float64(l.Waiting)
-	arrived := max(float64(l.Running-max(len(e.report.Runs), e.report.Listed.Running)), 0)
+	// A run that the list lacks has not made an event yet, or arrived since.
+	arrived := max(float64(l.Running-len(e.report.Runs)), 0)
 	waiting, unlisted = max(waiting-unlisted, 0), max(unlisted-waiting, 0)
 	arrived = max(arrived-unlisted, 0)
 	share := t.urgentShare(s, r.Priority)
