headroom: wait for a slot of engines that do not queue, within the rounds of queries

Cause: after one refusal by a full engine a daemon left out full engines for ever, and refused streams at once although a slot would have been free in time. Change: the finding lasts 30 s; a stream that a slot may serve in time asks again up to its third round. Running outputs bound the unknown output time from below, and the own requests count. Streams that clients resume count as begun in the line for retries.

--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -238,6 +238,8 @@
 				continue
 			}
 			return assignment{}, searchWait
+		case headroom.Wait:
+			return assignment{}, searchWait
 		case headroom.Place:
 			if in.ID == "" {
 				return assignment{}, searchWait
@@ -318,7 +320,7 @@
 		line = &headroom.Line{}
 		g.lines[s.r.service] = line
 	}
-	place := line.Join(s.headSent.Load(), s.r.priority, s.state.Events())
+	place := line.Join(s.headSent.Load() || s.r.LastEventID > 0, s.r.priority, int(s.lastEventID))
 	g.mu.Unlock()
 	first := func() bool {
 		g.mu.Lock()
--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -41,10 +41,15 @@
 	Query
 	// Refuse means that the request is refused now.
 	Refuse
+	// Wait means that all engines that were asked are full and do not queue requests, but
+	// may soon have a free slot.
+	Wait
 )
 
 // String returns the name that is used in logs and metrics.
-func (v Verdict) String() string { return [...]string{"unknown", "place", "query", "refuse"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"unknown", "place", "query", "refuse", "wait"}[v]
+}
 
 // Candidate is an engine that was asked.
 type Candidate struct {
@@ -98,7 +103,7 @@
 		if !est.Known {
 			continue
 		}
-		if est.Full && t.service(q.Request.Service).refusesWhenFull {
+		if est.Full && t.service(q.Request.Service).refusesWhenFull(now) {
 			if full == nil || est.Time < full.est.Time {
 				full = &option{c, est}
 			}
@@ -114,7 +119,9 @@
 		switch {
 		case canQuery && (full == nil || q.Rounds < 2):
 			return Decision{Verdict: Query}
-		case full != nil && !q.Begun:
+		case full != nil && (q.Begun || canQuery && full.est.Time <= q.limit(full.est, now, t.service(q.Request.Service).read)):
+			return Decision{Verdict: Wait, Engine: full.Engine, Estimate: full.est}
+		case full != nil:
 			return Decision{Verdict: Refuse, Engine: full.Engine, Estimate: full.est, RetryAfter: retryAfter(q, full.est, now, draw)}
 		}
 		return Decision{Verdict: Unknown}
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -1,6 +1,9 @@
 package headroom
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Estimate is the estimated time to the first event of a request at an engine, with the
 // parts of it.
@@ -35,7 +38,9 @@
 		l = *e.report.Current
 	}
 	for _, x := range e.sent {
-		if x.at.After(e.reportAt) {
+		// Without a current load the report may have been made before a request of the last
+		// MaxReportAge arrived.
+		if x.at.After(e.reportAt) || e.report.Current == nil && e.reportAt.Sub(x.at) < MaxReportAge && !e.lists(x.request.ID) {
 			l.Running++
 		}
 	}
@@ -46,6 +51,11 @@
 	return l
 }
 
+// lists reports whether the last report of an engine lists a run.
+func (e *engine) lists(id string) bool {
+	return slices.ContainsFunc(e.report.Runs, func(r Run) bool { return r.ID == id })
+}
+
 // Estimate returns the estimate for a request at an engine.
 func (t *Tracker) Estimate(id string, r Request, now time.Time) Estimate {
 	e, s := t.engines[id], t.service(r.Service)
@@ -75,8 +85,8 @@
 	}
 	est.Known = true
 	ahead := milliseconds(est.Ahead / est.Speed)
-	if est.Full && s.output > 0 {
-		hold := s.output + milliseconds(s.read/est.Speed)
+	if output := s.outputTime(e, now); est.Full && output > 0 {
+		hold := output + milliseconds(s.read/est.Speed)
 		wait := time.Duration((waiting + 1) * float64(hold) / float64(e.report.Slots))
 		est.SlotWait = max(wait-ahead, 0)
 	}
@@ -87,6 +97,21 @@
 	return est
 }
 
+// outputTime returns the time for which runs of a service generate output: the mean, or, as
+// long as none has ended, at least that of the runs which have not.
+func (s *service) outputTime(e *engine, now time.Time) time.Duration {
+	if s.output > 0 {
+		return s.output
+	}
+	longest := time.Duration(0)
+	for _, x := range e.sent {
+		if !x.firstEventAt.IsZero() {
+			longest = max(longest, now.Sub(x.firstEventAt))
+		}
+	}
+	return longest
+}
+
 // tokensAhead returns the tokens of the prompts that an engine reads before that of the
 // request, how many of them belong to requests that wait for a slot, and whether a less
 // urgent run has a slot, which the engine would give to the request.
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -31,6 +31,9 @@
 	maxSpeedRise      = 1.5
 	// maxSamples bounds the weight of an engine's own speed against the mean.
 	maxSamples = 20
+	// refusesFor is how long after such a refusal the full engines of a service are taken to
+	// turn requests away instead of queueing them.
+	refusesFor = 30 * time.Second
 	// fewSamples is the number of speeds of a service below which one is learnt from any
 	// first event, however much work was ahead of it.
 	fewSamples = 5
@@ -121,8 +124,8 @@
 	// events, that an engine lists. reports is the number of reports, up to 1/reportWeight.
 	generating, reading [priorities]float64
 	reports             float64
-	// refusesWhenFull says that an engine turned a request away while all its slots were taken.
-	refusesWhenFull bool
+	// refusedAt is when an engine last turned a request away while all its slots were taken.
+	refusedAt time.Time
 }
 
 // Tracker holds what one daemon knows of the engines.
@@ -269,11 +272,17 @@
 	}
 	e, s := t.engines[x.engine], t.service(x.request.Service)
 	if slots := e.report.Slots; slots > 0 && now.Sub(e.reportAt) < maxKnownAge && t.load(e).Running >= slots {
-		s.refusesWhenFull = true
+		s.refusedAt = now
 	}
 	t.Ended(ticket, now)
 }
 
+// refusesWhenFull reports whether engines of the service turn requests away while all their
+// slots are taken.
+func (s *service) refusesWhenFull(now time.Time) bool {
+	return !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < refusesFor
+}
+
 // Ended records that a request ended, whatever its outcome.
 func (t *Tracker) Ended(ticket Ticket, now time.Time) {
 	x := t.tickets[ticket]
