headroom: no refusal without a query from a speed that was learnt long ago

Cause: a speed that is wrong by far would have refused all requests of clients with little time without asking an engine, so that it would never have been corrected. Change: after 10 s without a first event engines are asked. A test with engines that read slower beside running streams. Run: go test ./headroom, go vet.

--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -189,7 +189,7 @@
 		}
 	}
 	own := milliseconds(float64(max(q.Request.Tokens-held, 0)) / s.speed)
-	if left := q.ClientDeadline.Sub(now); own > left {
+	if left := q.ClientDeadline.Sub(now); own > left && now.Sub(s.learntAt) < speedAge {
 		est := Estimate{Time: own, Own: float64(q.Request.Tokens - held), Held: held, Speed: s.speed}
 		return Decision{Verdict: Refuse, Estimate: est, RetryAfter: retryAfter(q, est, now, draw)}
 	}
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -34,6 +34,9 @@
 	// refusesFor is how long after such a refusal the full engines of a service are taken to
 	// turn requests away instead of queueing them.
 	refusesFor = 30 * time.Second
+	// speedAge is the age from which a speed is not a reason to refuse requests without asking
+	// an engine: a wrong one would keep itself up.
+	speedAge = 10 * time.Second
 	// fewSamples is the number of speeds of a service below which one is learnt from any
 	// first event, however much work was ahead of it.
 	fewSamples = 5
@@ -116,6 +119,8 @@
 
 type service struct {
 	speed, samples float64
+	// learntAt is when the last speed was learnt.
+	learntAt time.Time
 	// read is the mean number of tokens that a prompt leaves to read.
 	read float64
 	// output is the mean time from the first event of a run to its end.
@@ -242,6 +247,7 @@
 	if wait := float64(x.slotWait) / float64(time.Millisecond); elapsed > 2*wait {
 		elapsed -= wait
 	}
+	s.learntAt = now
 	weight := x.read / (x.read + x.ahead)
 	speed := (x.read + x.ahead) / elapsed
 	if s.samples > 0 {
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -215,6 +215,10 @@
 	if v := decide(q, ms(5100)); v != headroom.Refuse {
 		t.Errorf("with 800 ms for a prompt of a second the verdict is %v", v)
 	}
+	q.ClientDeadline = ms(15800)
+	if v := decide(q, ms(15000)); v != headroom.Query {
+		t.Errorf("with a speed that was learnt long ago the verdict is %v", v)
+	}
 }
 
 // Guards against daemons that all choose the same engine, and against an engine of another
--- a/headroom/load_test.go
+++ b/headroom/load_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// Guards against a speed that is learnt at idle engines and is too high in a burst. Load: as in the
+// burst of equal requests, but each run that generates output slows the reading by 8%, so that
+// engines read 7.4 tokens a millisecond beside one such run and 6 beside four.
+func TestSpeedFallsInBurst(t *testing.T) {
+	m := newModel(9, 75, 86)
+	a := &modelKind{name: "a", priority: 5, objective: 4500 * time.Millisecond, rate: 25}
+	b := &modelKind{name: "b", priority: 5, objective: 4500 * time.Millisecond, rate: 10, burst: 15}
+	m.kinds, m.burstFrom, m.burstUntil = []*modelKind{a, b}, burstFrom, burstUntil
+	for _, e := range m.engines {
+		e.slowdown = 0.08
+	}
+	watchRefusals(t, m)
+	m.run(45 * time.Second)
+	ra, rb := m.result(a, burstFrom, burstUntil), m.result(b, burstFrom, burstUntil)
+	t.Logf("a %+v b %+v wasted %.0f", ra, rb, m.wasted)
+	if late := ra.sentLate + rb.sentLate; late > 30 {
+		t.Errorf("%d placed requests are late", late)
+	}
+}
+
 // Guards against requests that are late because an engine is slower than the others, and
 // against a slow engine that is not used. Load: 10 requests a second before 12 engines, of
 // which one reads half as fast; 3 trackers.
--- a/headroom/model_test.go
+++ b/headroom/model_test.go
@@ -30,8 +30,10 @@
 // modelEngine reads prompts one after the other, the most urgent first, and generates the
 // outputs of all others meanwhile.
 type modelEngine struct {
-	id         string
-	speed      float64 // prompt tokens a millisecond
+	id    string
+	speed float64 // prompt tokens a millisecond
+	// slowdown is the part by which each run that generates output slows the reading.
+	slowdown   float64
 	slots      int
 	away       bool
 	running    []*modelRun
@@ -228,7 +230,13 @@
 		return
 	}
 	e.schedule()
-	budget := e.speed * float64(step/time.Millisecond)
+	generating := 0
+	for _, r := range e.running {
+		if r.hasEvent {
+			generating++
+		}
+	}
+	budget := e.speed * float64(step/time.Millisecond) / (1 + e.slowdown*float64(generating))
 	for budget > 0 {
 		var next *modelRun
 		for _, r := range e.running {
