failover, headroom: fewer probes of waiting runs, and priorities of runs that are not listed

Cause: each stream that waits for its first event asked its engine every 0.3 s, which are most of the load queries when streams wait for seconds. Engines that list runs from their first event on showed no priorities of prompts, so that urgent streams were taken to wait behind all of them. Change: probes of a run placed by an estimate begin at the expected time, at most after 2 s, and are up to 1 s apart. The mix of priorities is that of generating runs where no prompt is listed. One test takes a new tracker for its second case, with the same expectation: its reports of the first case would count in the mix.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -105,6 +105,9 @@
 	// probeDue is when the next probe is due.
 	probeDue      time.Time
 	probeInFlight bool
+	// firstEventInterval is the time between probes before the run's first event; 0 is that
+	// of the options.
+	firstEventInterval time.Duration
 	// missing counts the probes in a row that showed events which have not arrived.
 	missing int
 }
@@ -121,6 +124,34 @@
 	s.probeInFlight, s.missing = false, 0
 	s.lastActivity = now
 	s.probeDue = now.Add(s.o.FirstEventProbeDelay)
+	s.firstEventInterval = 0
+}
+
+const (
+	// maxFirstProbeDelay bounds the time until the first probe of a run that is expected to
+	// wait: an upstream that was lost without a sign is found by probes only.
+	maxFirstProbeDelay = 2 * time.Second
+	// maxFirstEventInterval bounds the time between the probes of such a run.
+	maxFirstEventInterval = time.Second
+)
+
+// Expected records the time in which the first event of the run that was just sent is expected.
+// A run that waits behind others needs fewer probes: in an overload those of all waiting runs are
+// most of the load queries.
+func (s *Stream) Expected(firstEvent time.Duration) {
+	if firstEvent <= s.o.FirstEventProbeDelay {
+		return
+	}
+	s.probeDue = s.lastActivity.Add(min(firstEvent, max(maxFirstProbeDelay, s.o.FirstEventProbeDelay)))
+	s.firstEventInterval = min(max(firstEvent/4, s.o.ProbeInterval), max(maxFirstEventInterval, s.o.ProbeInterval))
+}
+
+// probeInterval returns the time until the next probe.
+func (s *Stream) probeInterval() time.Duration {
+	if !s.firstEventSeen && s.firstEventInterval > 0 {
+		return s.firstEventInterval
+	}
+	return s.o.ProbeInterval
 }
 
 // Delivered records an event of the current run.
@@ -209,7 +240,7 @@
 	if gone && s.runs < s.o.MaxRuns {
 		return s.Lost()
 	}
-	s.probeDue = now.Add(s.o.ProbeInterval)
+	s.probeDue = now.Add(s.probeInterval())
 	return StepWait
 }
 
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -106,6 +106,41 @@
 		Expect(s.MayTryRecentlyFailed(now.Add(time.Second))).To(BeTrue())
 	})
 
+	// Guards against load queries of waiting runs that make most of the work in an overload, and
+	// against an engine that is lost without a sign and not found. Load: a run that is expected
+	// to wait for 8 s.
+	It("probes a run that is expected to wait less often, and others as before", func() {
+		probes := func(expected time.Duration) (first time.Duration, n int) {
+			now = start
+			s = failover.New(o)
+			s.Sent(now, false)
+			s.Expected(expected)
+			for ; now.Before(start.Add(7 * time.Second)); now = now.Add(10 * time.Millisecond) {
+				if s.Tick(now) != failover.StepProbe {
+					continue
+				}
+				if n++; n == 1 {
+					first = now.Sub(start)
+				}
+				Expect(s.Probed(failover.VerdictLacks, now)).To(Equal(failover.StepWait))
+			}
+			return first, n
+		}
+		usualFirst, usual := probes(0)
+		first, n := probes(time.Second)
+		Expect(first).To(Equal(usualFirst))
+		Expect(n).To(Equal(usual))
+		first, n = probes(8 * time.Second)
+		Expect(first).To(Equal(2 * time.Second))
+		Expect(n).To(And(BeNumerically(">=", 4), BeNumerically("<=", usual/3)))
+		Expect(s.NextTick()).To(BeTemporally("<=", now.Add(time.Second)))
+		s.Delivered(now)
+		now = now.Add(o.GapProbeDelay)
+		Expect(s.Tick(now)).To(Equal(failover.StepProbe), "between events as before")
+		s.Probed(failover.VerdictHolds, now)
+		Expect(s.NextTick()).To(Equal(now.Add(o.ProbeInterval)))
+	})
+
 	// Guards against a run that still reads its prompt and is taken for lost: the
 	// engine does not list it yet, and a restore would be refused.
 	It("does not move a run that is not listed before its first event", func() {
--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -245,7 +245,7 @@
 				return assignment{}, searchWait
 			}
 			h.record(d, "admitted")
-			return s.withCopyTarget(assignment{upstream: in, ticket: ticket}, plan.Order(rank)), searchPlaced
+			return s.withCopyTarget(assignment{upstream: in, ticket: ticket, expected: d.Estimate.Time}, plan.Order(rank)), searchPlaced
 		case headroom.Refuse:
 			return h.refuse(d)
 		default:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,8 +36,10 @@
 	// restoreFrom is the copy from which the run continues; nil for a run that
 	// reads its prompt.
 	restoreFrom *CacheCopy
-	// ticket identifies the run in the estimates; 0 is none.
-	ticket headroom.Ticket
+	// ticket identifies the run in the estimates; 0 is none. expected is the estimated time to
+	// its first event; 0 is unknown.
+	ticket   headroom.Ticket
+	expected time.Duration
 }
 
 // stream is one client's stream over all of its runs on upstreams.
@@ -175,6 +177,7 @@
 	s.runs++
 	s.runEvents = 0
 	s.state.Sent(began, p.copyTo.ID != "")
+	s.state.Expected(p.expected)
 	view := g.o.Directory.View()
 	g.o.Logger.Info("stream sent", "id", s.r.ID, "upstream", p.upstream.ID, "version", p.upstream.Version, "data_centre", p.upstream.DataCentre, "copy", p.copyTo.ID,
 		"restore", p.restoreFrom != nil, "after", s.lastEventID, "left", s.r.timeLeft(began), "revision", view.Revision,
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -189,21 +189,27 @@
 }
 
 // urgentShare returns the part of the requests of a service that are as urgent as the given
-// priority or more, by the prompts that engines list as being read.
+// priority or more, by the prompts that engines list as being read, or by the runs that
+// generate output for engines that list runs from their first event on.
 func (t *Tracker) urgentShare(s *service, priority int) float64 {
-	urgent, all := 0.0, 0.0
-	for p, n := range s.reading {
-		all += n
-		if p <= priority {
-			urgent += n
+	for _, mix := range [][priorities]float64{s.reading, s.generating} {
+		urgent, all := 0.0, 0.0
+		for p, n := range mix {
+			all += n
+			if p <= priority {
+				urgent += n
+			}
+		}
+		if all >= minMix {
+			return urgent / all
 		}
 	}
-	if all == 0 {
-		return 1
-	}
-	return urgent / all
+	return 1
 }
 
+// minMix is the mean number of listed runs from which their priorities tell that of others.
+const minMix = 0.05
+
 // unseen returns the tokens of prompts that were sent to an engine since its report was made.
 func (t *Tracker) unseen(e *engine, s *service, r Request, now time.Time) float64 {
 	age := now.Sub(e.reportAt)
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -97,6 +97,30 @@
 	}
 }
 
+// Guards against urgent requests that are taken to wait behind all requests of which the priority
+// is not known. Load: engines that list runs from their first event on, one urgent run and three
+// others, and four prompts that are being read.
+func TestUnlistedPrompts(t *testing.T) {
+	tr := learnt()
+	r := headroom.Report{Listed: headroom.Load{Running: 8}, Slots: 16}
+	for i := range 4 {
+		r.Runs = append(r.Runs, headroom.Run{ID: fmt.Sprint("g", i), Events: 5, Priority: 2 * min(i, 1)})
+	}
+	r.Current = &r.Listed
+	for i := range 200 {
+		tr.Report("a", "s", r, ms(4000+i))
+	}
+	of := func(priority int) float64 {
+		return tr.Estimate("a", headroom.Request{Service: "s", Priority: priority, Tokens: 8000}, ms(4199)).Ahead
+	}
+	if ahead := of(2); ahead != 4*8000 {
+		t.Errorf("%.0f tokens are ahead of a less urgent request", ahead)
+	}
+	if ahead := of(0); ahead < 7000 || ahead > 9000 {
+		t.Errorf("%.0f tokens are ahead of an urgent request", ahead)
+	}
+}
+
 // Guards against an urgent request that waits for the slot of a less urgent run, and against a
 // wait for a slot that is not counted. Load: engines whose four slots are taken.
 func TestWaitForSlot(t *testing.T) {
@@ -114,6 +138,7 @@
 	if e := tr.Estimate("a", r, ms(5000)); e.Full || e.SlotWait != 0 || e.Time != time.Second {
 		t.Errorf("an urgent request waits: %+v", e)
 	}
+	tr = learnt()
 	tr.Report("a", "s", full(0), ms(5000))
 	e := tr.Estimate("a", r, ms(5000))
 	// Runs of 5 s in four slots, and three requests before this one.
