--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -12,6 +12,11 @@
 // codeStopping is the code of an answer to a request that the stop of the daemon would cut.
 const codeStopping = "stopping"
 
+// codeOverloaded is the code of refusals of streams that would get their first event after the
+// objective of their route, and of requests for a plain service whose upstreams have more work
+// than they can do in time.
+const codeOverloaded = "overloaded"
+
 // refusal is an error response that the gateway generates itself. Status 429
 // and 503 promise that the request has not run and never will.
 type refusal struct {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -12,10 +12,6 @@
 	"github.com/gooseberryroad/gooseberryroad/shedding"
 )
 
-// codeOverloaded is the code of refusals while the upstreams of a plain service have more
-// work than they can do in time.
-const codeOverloaded = "overloaded"
-
 // shedLogInterval is the least time between two log lines about the load of a service.
 const shedLogInterval = time.Second
 
