headroom, gateway: room in engines' memory, copies only where there is room, estimates that follow real times

Refused clients came back into the same overload and were refused again. Change: an engine without room counts like a full one; a copy needs an engine that uses less than half of its cache; a factor follows the real times so that 85% of placed requests stay below their estimate; queues hold at most half of the objective; Retry-After grows with the share of refusals.

--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -132,8 +132,9 @@
 func (s *stream) stopRun(ctx context.Context, p *assignment) bool {
 	to := p.copyTo
 	if to.ID == "" || !s.g.available(to, time.Now()) {
-		next, ok := s.chooseCopyTarget(p.upstream)
-		if !ok {
+		// The run has to end before another one begins, also where a copy finds no room.
+		next := s.withAnyCopyTarget(assignment{upstream: p.upstream}, s.g.rank(s.r, map[string]bool{p.upstream.ID: true})).copyTo
+		if next.ID == "" {
 			return false
 		}
 		to = next
--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/retrybudget"
+	"github.com/gooseberryroad/gooseberryroad/routes"
 )
 
 const (
@@ -95,7 +96,10 @@
 	if !g.paced(in.Service, now) && (table == nil || !table.RanksRequests(in.Service)) {
 		return report.Load
 	}
-	r := headroom.Report{Listed: headroom.Load{Running: report.Load.Running, Waiting: report.Load.Waiting}, Slots: in.Slots}
+	r := headroom.Report{
+		Listed: headroom.Load{Running: report.Load.Running, Waiting: report.Load.Waiting}, Slots: in.Slots,
+		UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
+	}
 	for _, run := range report.Runs {
 		r.Runs = append(r.Runs, headroom.Run{ID: run.ID, Tokens: run.Tokens, Events: run.Events, Priority: run.Priority})
 	}
@@ -154,7 +158,12 @@
 // request returns what the estimates need to know of the stream.
 func (h *headroomSearch) request() headroom.Request {
 	r := h.s.r
-	out := headroom.Request{ID: r.ID, Service: r.service, Priority: r.priority, Tokens: r.PromptTokens}
+	// Engines that are told no priority list all runs with the same one.
+	priority := routes.DefaultPriority
+	if r.sendsPriority {
+		priority = r.priority
+	}
+	out := headroom.Request{ID: r.ID, Service: r.service, Priority: priority, Tokens: r.PromptTokens, OutputTokens: r.MaxOutputTokens}
 	sum := 0
 	for i, tokens := range r.PartTokens {
 		id := r.PromptPartID
@@ -255,6 +264,15 @@
 	}
 }
 
+// withRoomForCopy returns the engines that have room for a copy of the stream's run by what is
+// known of them.
+func (h *headroomSearch) withRoomForCopy(ranked []placement.Ranked) []placement.Ranked {
+	req, now := h.request(), time.Now()
+	h.s.g.mu.Lock()
+	defer h.s.g.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(ranked), func(c placement.Ranked) bool { return !h.s.g.headroom.RoomForCopy(c.ID, req, now) })
+}
+
 // refuse records the refusal of the stream, with the reason: the prompts ahead or the slots.
 func (h *headroomSearch) refuse(d headroom.Decision) (assignment, searchOutcome) {
 	decision := "refused_prompts"
@@ -303,7 +321,7 @@
 	e := d.Estimate
 	h.s.g.o.Logger.Info("admission decided", "id", h.s.r.ID, "route", h.s.r.route.Name, "decision", decision, "priority", h.s.r.priority,
 		"begun", h.s.begun(), "upstream", d.Engine, "estimate", e.Time, "tokens_ahead", int(e.Ahead), "tokens_own", int(e.Own), "tokens_held", e.Held,
-		"tokens_per_ms", e.Speed, "slot_wait", e.SlotWait, "idle", e.Idle, "rounds", h.rounds, "retry_after", d.RetryAfter)
+		"tokens_per_ms", e.Speed, "slot_wait", e.SlotWait, "memory_wait", e.MemoryWait, "preempts", e.Preempts, "idle", e.Idle, "rounds", h.rounds, "retry_after", d.RetryAfter)
 }
 
 // awaitTurn takes a retry from the retry budget, in the order of the line of the service, at
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -195,6 +195,14 @@
 // It is in another data centre, because the upstreams of a data centre fail
 // together. One that names a limit is the last choice.
 func (s *stream) withCopyTarget(p assignment, ranked []placement.Ranked) assignment {
+	if s.search != nil {
+		ranked = s.search.withRoomForCopy(ranked)
+	}
+	return s.withAnyCopyTarget(p, ranked)
+}
+
+// withAnyCopyTarget does the same without regard to the room that a copy takes.
+func (s *stream) withAnyCopyTarget(p assignment, ranked []placement.Ranked) assignment {
 	if s.r.engine == nil || !s.r.engine.Backups || !s.r.route.Resumable {
 		return p
 	}
--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -13,6 +13,10 @@
 	// same engine at the same moment, but at least minSafetyShare and at most maxSafetyShare of
 	// the objective.
 	minSafetyShare, maxSafetyShare = 0.1, 0.2
+	// maxWaitShare is the part of the objective that a request may wait at an engine before its
+	// prompt is read. A longer queue adds no throughput, makes small errors of the estimates
+	// late answers, and takes as long to drain after a burst.
+	maxWaitShare = 0.5
 	// recentAge is how old reports may be that take the place of a round of queries. In that
 	// time an engine reads less than one prompt.
 	recentAge = 250 * time.Millisecond
@@ -22,6 +26,8 @@
 	// closeShare is the part of the objective within which estimates count as equal. Daemons
 	// that read the same reports would otherwise all choose the same engine.
 	closeShare = 0.05
+	// maxRefusedShare bounds the effect of the share of refused requests.
+	maxRefusedShare = 0.8
 	// minRetryAfter and maxRetryAfter bound the time after which a refused client returns,
 	// shortestRetryAfter that of one with hardly any time left.
 	minRetryAfter      = 100 * time.Millisecond
@@ -91,6 +97,14 @@
 
 // Decide decides about a request. draw is uniform in [0, 1).
 func (t *Tracker) Decide(q Question, now time.Time, draw float64) Decision {
+	d := t.decide(q, now, draw)
+	if !q.Begun && (d.Verdict == Place || d.Verdict == Refuse) {
+		t.service(q.Request.Service).countDecision(d.Verdict == Refuse)
+	}
+	return d
+}
+
+func (t *Tracker) decide(q Question, now time.Time, draw float64) Decision {
 	type option struct {
 		Candidate
 		est Estimate
@@ -122,7 +136,7 @@
 		case full != nil && (q.Begun || canQuery && full.est.Time <= q.limit(full.est, now, t.service(q.Request.Service).read)):
 			return Decision{Verdict: Wait, Engine: full.Engine, Estimate: full.est}
 		case full != nil:
-			return Decision{Verdict: Refuse, Engine: full.Engine, Estimate: full.est, RetryAfter: retryAfter(q, full.est, now, draw)}
+			return Decision{Verdict: Refuse, Engine: full.Engine, Estimate: full.est, RetryAfter: retryAfter(q, full.est, t.service(q.Request.Service).refused, now, draw)}
 		}
 		return Decision{Verdict: Unknown}
 	}
@@ -137,7 +151,7 @@
 		if canQuery && q.Rounds < 2 && !t.othersLate(q, minRecent, now) {
 			return Decision{Verdict: Query, Engine: best.Engine, Estimate: best.est}
 		}
-		return Decision{Verdict: Refuse, Engine: best.Engine, Estimate: best.est, RetryAfter: retryAfter(q, best.est, now, draw)}
+		return Decision{Verdict: Refuse, Engine: best.Engine, Estimate: best.est, RetryAfter: retryAfter(q, best.est, t.service(q.Request.Service).refused, now, draw)}
 	}
 	if best.est.Time > limit && idle && !best.est.Idle {
 		for _, o := range options {
@@ -168,6 +182,14 @@
 // short time ago and leave the request no time, or if its client gives up before an idle
 // engine could have read its prompt; else Query.
 func (t *Tracker) DecideUnasked(q Question, now time.Time, draw float64) Decision {
+	d := t.decideUnasked(q, now, draw)
+	if d.Verdict == Refuse {
+		t.service(q.Request.Service).countDecision(true)
+	}
+	return d
+}
+
+func (t *Tracker) decideUnasked(q Question, now time.Time, draw float64) Decision {
 	s := t.service(q.Request.Service)
 	if q.Begun || s.speed <= 0 || q.Request.Tokens == 0 {
 		return Decision{Verdict: Query}
@@ -191,10 +213,10 @@
 	own := milliseconds(float64(max(q.Request.Tokens-held, 0)) / s.speed)
 	if left := q.ClientDeadline.Sub(now); own > left && now.Sub(s.learntAt) < speedAge {
 		est := Estimate{Time: own, Own: float64(q.Request.Tokens - held), Held: held, Speed: s.speed}
-		return Decision{Verdict: Refuse, Estimate: est, RetryAfter: retryAfter(q, est, now, draw)}
+		return Decision{Verdict: Refuse, Estimate: est, RetryAfter: retryAfter(q, est, s.refused, now, draw)}
 	}
 	if best != nil && t.othersLate(q, minRecentUnasked, now) {
-		return Decision{Verdict: Refuse, Engine: engine, Estimate: *best, RetryAfter: retryAfter(q, *best, now, draw)}
+		return Decision{Verdict: Refuse, Engine: engine, Estimate: *best, RetryAfter: retryAfter(q, *best, s.refused, now, draw)}
 	}
 	return Decision{Verdict: Query}
 }
@@ -205,7 +227,9 @@
 	left := min(q.Objective-now.Sub(q.Arrived), q.ClientDeadline.Sub(now))
 	prompt := milliseconds(read / max(est.Speed, 0.001))
 	objective := float64(q.Objective)
-	return left - min(max(prompt, time.Duration(minSafetyShare*objective)), time.Duration(maxSafetyShare*objective))
+	inTime := left - min(max(prompt, time.Duration(minSafetyShare*objective)), time.Duration(maxSafetyShare*objective))
+	own := milliseconds(est.Own / max(est.Speed, 0.001))
+	return min(inTime, own+time.Duration(maxWaitShare*objective))
 }
 
 // othersLate reports whether enough engines that are no candidates reported a short time ago
@@ -231,19 +255,22 @@
 }
 
 // retryAfter returns the time after which the client of a refused request comes again. It
-// grows with the queue, is shorter for urgent requests, and is at most a third of the time
-// that the client has left, so that it can come twice more.
-func retryAfter(q Question, est Estimate, now time.Time, draw float64) time.Duration {
-	queue := est.SlotWait
+// grows with the queue and with the share of requests that are refused, is shorter for urgent
+// requests, and is at most a third of the time that the client has left, so that it can come
+// twice more.
+func retryAfter(q Question, est Estimate, refused float64, now time.Time, draw float64) time.Duration {
+	queue := est.SlotWait + est.MemoryWait
 	if est.Speed > 0 {
 		queue += milliseconds(est.Ahead / est.Speed)
 	}
+	// Of the clients that come back while a share is refused, as many are refused again.
+	queue = time.Duration(float64(queue) / (1 - min(refused, maxRefusedShare)))
 	urgency := 0.5 + 0.5*float64(clampPriority(q.Request.Priority))/(priorities-1)
 	mean := urgency * float64(max(queue, minRetryAfter))
 	wait := min(max(time.Duration(mean*(0.5+draw)), minRetryAfter), maxRetryAfter)
 	if limit := q.ClientDeadline.Sub(now) / 3; wait > limit {
 		// The spread remains where the client has little time.
-		wait = time.Duration(float64(max(limit, shortestRetryAfter)) * (0.5 + 0.5*draw))
+		wait = time.Duration(float64(max(limit, shortestRetryAfter)) * (0.75 + 0.25*draw))
 	}
 	return wait
 }
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -24,10 +24,17 @@
 	// SlotWait is the time for which the wait for a slot outlasts the reading of the prompts
 	// ahead.
 	SlotWait time.Duration
+	// planned is Time without the correction by the real times of earlier requests.
+	planned time.Duration
 	// Idle says that the engine has a free slot and no prompt to read before this one.
 	Idle bool
 	// Full says that all slots are taken, none of them by a less urgent run.
 	Full bool
+	// MemoryWait is the time for which the wait for room in the KV cache outlasts the other
+	// waits. Preempts says that there is no room and that the engine would make some by
+	// preempting a less urgent run.
+	MemoryWait time.Duration
+	Preempts   bool
 }
 
 // load returns the load of an engine with the requests that this daemon sent since its
@@ -90,10 +97,26 @@
 		wait := time.Duration((waiting + 1) * float64(hold) / float64(e.report.Slots))
 		est.SlotWait = max(wait-ahead, 0)
 	}
-	est.Time = ahead + milliseconds(est.Own/est.Speed) + est.SlotWait
+	own := milliseconds(est.Own / est.Speed)
+	if wait, fits := t.memoryWait(e, s, r, tokens, now); !fits {
+		est.Idle = false
+		if hasLessUrgent {
+			// The preempted run is read once more, which costs about as much as this prompt. An
+			// engine with room is better.
+			est.Preempts = true
+			est.MemoryWait = own / 2
+		} else {
+			est.MemoryWait = max(wait-ahead-est.SlotWait, 0)
+		}
+	}
+	est.Time = ahead + own + est.SlotWait + est.MemoryWait
 	if !est.Idle {
 		est.Time = time.Duration(float64(est.Time) / (1 - t.moreUrgentShare(s, r, est, e.report.Slots)))
 	}
+	est.planned = est.Time
+	if !est.Idle {
+		est.Time = time.Duration(float64(est.Time) * max(s.correction, minCorrection))
+	}
 	return est
 }
 
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -60,6 +60,8 @@
 	// which may be fewer tokens.
 	Tokens int
 	Parts  []Part
+	// OutputTokens is the largest number of tokens that may be generated; 0 is unknown.
+	OutputTokens int
 }
 
 // Run is a run in an engine's report.
@@ -83,6 +85,9 @@
 	Current *Load
 	// Slots is the number of requests that run at once; 0 is unknown.
 	Slots int
+	// UsedTokens is the part of the KV cache that running requests need, TotalTokens the whole
+	// cache; 0 is unknown.
+	UsedTokens, TotalTokens int
 }
 
 // Ticket identifies a request that was sent; 0 is none.
@@ -99,6 +104,9 @@
 	// the estimated wait for a slot.
 	ahead    float64
 	slotWait time.Duration
+	// planned is the estimated time to the first event without the correction; 0 for an idle
+	// engine, whose estimates need none.
+	planned time.Duration
 	// uncertain is the part of read that the engine may hold because of other daemons.
 	uncertain float64
 	// reported says that ahead is based on a report of the engine.
@@ -123,6 +131,14 @@
 	learntAt time.Time
 	// read is the mean number of tokens that a prompt leaves to read.
 	read float64
+	// prompt and outputTokens are the mean sizes of requests in tokens, the latter as clients
+	// bound it.
+	prompt, outputTokens float64
+	// correction is the factor that inTimeShare of the real times to the first event stayed
+	// below, against the estimates; 0 is unknown.
+	correction float64
+	// refused is the share of requests that were refused lately.
+	refused float64
 	// output is the mean time from the first event of a run to its end.
 	output time.Duration
 	// generating and reading are the mean numbers of runs of each priority, with and without
@@ -208,8 +224,12 @@
 	t.last++
 	x := &sent{request: r, engine: id, at: now, read: float64(max(r.Tokens-t.held(e, r.Parts, now), 0)), ahead: est.Ahead, slotWait: est.SlotWait, reported: est.Reported, ticket: t.last}
 	x.uncertain = float64(t.uncertain(e, r, now))
+	if !est.Idle {
+		x.planned = est.planned
+	}
 	e.sent, t.tickets[t.last] = append(e.sent, x), x
 	s := t.service(r.Service)
+	s.countSize(r)
 	if r.Tokens > 0 {
 		if s.read == 0 {
 			s.read = x.read
@@ -228,6 +248,7 @@
 	}
 	x.firstEventAt = now
 	e := t.engines[x.engine]
+	t.service(x.request.Service).correct(x, now)
 	t.learnSpeed(e, x, now)
 	t.holds(e, x.request.Parts, now)
 }
