edge: replicas are ordered by the holder from the demand of all daemons

Cause: package sizing decided numbers and edge sent orders of a planner, but nothing carried the daemons' demand to the holder, and no planner was built. Change: with duties of scaling, each daemon sends its demand to the holders (POST /v1/demand, after each interval of a second, at most every 0.5 s); the holder gives its services to sizing.Planner, asks for orders once a second and sends them one at a time. Orders that did not go through are decided again. edge.Planner is gone: edge uses the planner of sizing. sizing: an order that failed is repeated while learning, nothing is lowered before the last order went through, and MaySend stops orders that wait when upstreams are lost. sizinglog: figures are removed by service. routes: objective of the streams of a service.

--- a/edge/cloud.go
+++ b/edge/cloud.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/gooseberryroad/gooseberryroad/store"
 )
@@ -34,12 +33,3 @@
 
 // DutyStore is the part of the platform's store that duties need.
 type DutyStore interface{ store.Transactor }
-
-// Planner decides numbers of replicas. Its methods are called by one goroutine.
-type Planner interface {
-	// Orders returns the orders to send now for a service whose subject this daemon holds,
-	// by data centre. since is when the daemon took the subject.
-	Orders(service string, since, now time.Time) map[string]int
-	// Ordered says how an order ended.
-	Ordered(service, dataCentre string, n int, now time.Time, err error)
-}
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -16,6 +15,9 @@
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/duty"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
+	"github.com/gooseberryroad/gooseberryroad/relay"
+	"github.com/gooseberryroad/gooseberryroad/sizing"
+	"github.com/gooseberryroad/gooseberryroad/sizing/sizinglog"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/usage"
 )
@@ -40,8 +42,6 @@
 	// callShare is the part of the rate of the control service that one daemon uses. Holders
 	// of different subjects do not know of each other's calls.
 	callShare = 0.5
-	// planInterval is how often the numbers of replicas are decided.
-	planInterval = 200 * time.Millisecond
 	// lastCountsTime bounds the time in which a stopping daemon sends its last counts, and
 	// minLastCountsTime is what it takes if the grace period is over.
 	lastCountsTime    = 1500 * time.Millisecond
@@ -72,9 +72,9 @@
 	Settings Settings
 	Store    DutyStore
 	Cloud    Cloud
-	// Planner is nil if no numbers of replicas are ordered.
-	Planner Planner
-	View    func() *directory.View
+	// NewPlanner makes the planner of replicas.
+	NewPlanner func(now time.Time) replicaPlanner
+	View       func() *directory.View
 	// ViewEra returns the store's era of a view, Era the newest one that any response of the
 	// store named.
 	ViewEra func(*directory.View) uint64
@@ -83,6 +83,10 @@
 	Lease func(ctx context.Context) (uint64, error)
 	// Send sends counts to the holder at a relay address.
 	Send func(ctx context.Context, address string, messages []usage.Message) error
+	// SendDemand sends demand to the holder of a service at a relay address. Demand returns
+	// that of this daemon; nil if nothing is measured.
+	SendDemand func(ctx context.Context, address string, m relay.Demand) error
+	Demand     func(now time.Time) sizing.Message
 	// SinceBoot is a clock that also runs while the VM is suspended, TimeOfDay the VM's
 	// clock, which may jump.
 	SinceBoot, TimeOfDay func() time.Time
@@ -100,6 +104,8 @@
 	mu        sync.Mutex
 	machine   *duty.Machine
 	collector *usage.Collector
+	// scaling is nil if no replicas are ordered.
+	scaling *scaling
 	// view is the last view that was looked at.
 	view *directory.View
 	era  uint64
@@ -111,10 +117,9 @@
 	writing, sending bool
 	calling          map[string]bool
 	// nextWrite is when decided windows may be written after writeFailures failures in a
-	// row, nextCall when the control service may be called, and nextPlan when numbers of
-	// replicas are decided next.
-	nextWrite, nextCall, nextPlan time.Time
-	writeFailures                 int
+	// row, and nextCall when the control service may be called.
+	nextWrite, nextCall time.Time
+	writeFailures       int
 	// passOn holds the counts of other daemons that the holder may not get from them.
 	passOn []usage.Message
 	// nextPassOn is when they may be sent without own counts.
@@ -154,9 +159,15 @@
 		d.counter = usage.NewCounter(s.Name, d.process, s.Duties.Window, steady)
 		d.collector = usage.NewCollector(s.Duties.Window)
 	}
+	if s.Duties.Scaling {
+		d.scaling = newScaling(sizinglog.New(o.Logger))
+	}
 	return d
 }
 
+// setDemand sets the source of this daemon's demand. It must be called before run.
+func (d *duties) setDemand(f func(now time.Time) sizing.Message) { d.o.Demand = f }
+
 // narrow reports whether a link is too narrow for the messages of all daemons.
 func (d *duties) narrow(mbps float64) bool { return mbps > 0 && mbps < narrowLinkMbps }
 
@@ -190,8 +201,7 @@
 	if d.collector != nil {
 		d.workOnUsage(now)
 	}
-	if d.o.Planner != nil && !now.Before(d.nextPlan) {
-		d.nextPlan = now.Add(planInterval)
+	if d.scaling != nil {
 		d.workOnScaling(now)
 	}
 }
@@ -277,7 +287,7 @@
 	if d.o.Settings.Duties.Usage {
 		out = append(out, subjectUsage)
 	}
-	if d.o.Settings.Duties.Scaling && d.o.Planner != nil && v.Table != nil {
+	if d.scaling != nil && v.Table != nil {
 		for _, name := range v.Table.ScaledServices() {
 			out = append(out, subjectScalingStart+name)
 		}
@@ -378,12 +388,19 @@
 		if a.Subject == subjectUsage {
 			d.passOn = nil
 		}
+		if service, ok := strings.CutPrefix(a.Subject, subjectScalingStart); ok && !a.Renewed {
+			// A hold whose end was not noticed before it was taken again counts as a new one.
+			d.forgetService(service)
+		}
 		countDutyChange("taken", "")
 		d.o.Logger.Info("duty taken", "subject", a.Subject, "token", a.Token, "previous", a.Previous.Name,
 			"previous_address", a.Previous.Address, "waited", a.Waited, "without_break", a.Renewed)
 	case duty.Lost:
 		countDutyChange("ended", string(a.Reason))
 		d.o.Logger.Info("duty ended", "subject", a.Subject, "token", a.Token, "reason", string(a.Reason), "held", a.Held)
+		if service, ok := strings.CutPrefix(a.Subject, subjectScalingStart); ok {
+			d.forgetService(service)
+		}
 		if a.Subject == subjectUsage {
 			d.passOn = slices.DeleteFunc(d.collector.Messages(), func(m usage.Message) bool { return m.Process == d.process })
 		}
@@ -540,33 +557,6 @@
 	return len(d.calling) > 0 || d.writing || d.revoking > 0
 }
 
-// workOnScaling sends the orders of the services that this daemon holds.
-func (d *duties) workOnScaling(now time.Time) {
-	for _, subject := range d.subjects(d.view0()) {
-		service, ok := strings.CutPrefix(subject, subjectScalingStart)
-		t, holds := d.machine.Tenure(subject, now)
-		if !ok || !holds || d.calling[subject] || d.stopping || now.Before(d.nextCall) {
-			continue
-		}
-		orders := d.o.Planner.Orders(service, t.Since, now)
-		for _, dataCentre := range slices.Sorted(maps.Keys(orders)) {
-			d.order(subject, service, dataCentre, orders[dataCentre], now)
-			// One call at a time for a subject; the planner asks again for the others.
-			break
-		}
-	}
-}
-
-func (d *duties) order(subject, service, dataCentre string, n int, now time.Time) {
-	d.call(subject, now, func(ctx context.Context, c CloudCall) error {
-		return d.o.Cloud.OrderReplicas(ctx, c, service, dataCentre, n)
-	}, func(err error) {
-		countOrder(err)
-		d.o.Logger.Info("replicas ordered", "service", service, "data_centre", dataCentre, "number", n, "cause", err)
-		d.o.Planner.Ordered(service, dataCentre, n, d.o.SinceBoot(), err)
-	})
-}
-
 // view0 returns the last view, or an empty one.
 func (d *duties) view0() *directory.View {
 	if d.view == nil {
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -16,7 +16,9 @@
 
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/drain"
+	"github.com/gooseberryroad/gooseberryroad/registry"
 	"github.com/gooseberryroad/gooseberryroad/routes"
+	"github.com/gooseberryroad/gooseberryroad/sizing"
 	"github.com/gooseberryroad/gooseberryroad/sources"
 	"github.com/gooseberryroad/gooseberryroad/store"
 	"github.com/gooseberryroad/gooseberryroad/usage"
@@ -44,8 +46,9 @@
 	next     uint64
 	history  []storeState
 	writes   int
-	// table is the configuration.
-	table *routes.Table
+	// table is the configuration, instances are the registered upstreams.
+	table     *routes.Table
+	instances []registry.Instance
 }
 
 type storeState struct {
@@ -57,7 +60,8 @@
 
 // changed keeps the content. The caller holds s.mu.
 func (s *fakeStore) changed(peers []sources.Peer) {
-	v := &directory.View{Table: s.table, Revision: s.revision, PeerList: peers, Duties: maps.Clone(s.entries), Ready: true}
+	v := &directory.View{Table: s.table, Revision: s.revision, PeerList: peers, Duties: maps.Clone(s.entries), Ready: true,
+		All: slices.Clone(s.instances), Daemons: len(peers)}
 	for _, p := range peers {
 		v.Peers = append(v.Peers, p.Name)
 	}
@@ -116,7 +120,9 @@
 	reports    map[int64]map[string]int64
 	reportedAt map[int64]time.Time
 	violations []string
-	orders     []string
+	orders     []testOrder
+	// loseOrders is the number of orders whose responses are lost.
+	loseOrders int
 }
 
 func (c *fakeCloud) take(call CloudCall, window int64, counts map[string]int64) {
@@ -155,7 +161,13 @@
 	logs    *bytes.Buffer
 	logMu   sync.Mutex
 	// planner makes the planner of a daemon; nil if no replicas are ordered.
-	planner func() Planner
+	planner func(now time.Time) replicaPlanner
+	// rate is the number of streams a second at each daemon; demands counts the messages with
+	// demand. Both are guarded by the store's mutex.
+	rate    float64
+	demands int
+	// stopEngines ends runEngines.
+	stopEngines context.CancelFunc
 	// starts counts the processes.
 	starts uint64
 	// began holds the requests that upstreams began, by window in true time.
@@ -185,6 +197,8 @@
 	thaw    chan struct{}
 	last    int
 	seenEra uint64
+	// meter counts the demand of the process.
+	meter *sizing.Meter
 }
 
 // wait lets virtual time pass.
@@ -193,14 +207,18 @@
 func newDutyWorld(t *testing.T, n int) *dutyWorld { return newPlannedWorld(t, n, nil) }
 
 // newPlannedWorld returns a world in which numbers of replicas are ordered, too.
-func newPlannedWorld(t *testing.T, n int, p func() Planner) *dutyWorld {
+func newPlannedWorld(t *testing.T, n int, p func(now time.Time) replicaPlanner) *dutyWorld {
 	w := &dutyWorld{
 		planner: p,
 		t:       t, logs: &bytes.Buffer{}, began: map[int64]int64{}, begin: time.Now(),
 		store: &fakeStore{revision: 100, entries: map[string]store.Entry{}, leaseOf: map[string]uint64{}, leases: map[uint64]time.Time{}},
 		cloud: &fakeCloud{reports: map[int64]map[string]int64{}, reportedAt: map[int64]time.Time{}},
 	}
-	w.store.table = routes.NewTable(routes.Config{Version: 1, Services: []routes.Service{{Name: "llm", Scaling: &routes.Scaling{Min: 1, Max: 9}}, {Name: "tags"}}})
+	w.store.table = routes.NewTable(routes.Config{Version: 1,
+		Services: []routes.Service{{Name: "llm", Scaling: &routes.Scaling{Min: testMin, Max: testMax, StartTime: testStart}}, {Name: "tags"}},
+		Routes: []routes.Route{{
+			Name: "chat", Host: "h", Prefix: "/", Kind: routes.Stream, TargetLatency: time.Second, Shares: []routes.Share{{Service: "llm", Weight: 1}},
+		}}})
 	var peers []sources.Peer
 	for i := range n {
 		w.daemons = append(w.daemons, &testDaemon{w: w, name: fmt.Sprint("d", i)})
@@ -217,24 +235,23 @@
 	w := d.w
 	log := slog.New(slog.NewTextHandler(w, nil)).With("daemon", d.name)
 	w.starts++
-	var planner Planner
-	if w.planner != nil {
-		planner = w.planner()
-	}
 	started := newDuties(dutyOptions{
 		Settings: Settings{Name: d.name, RelayAddress: d.name + ":1", Duties: DutySettings{
-			Usage: true, Scaling: planner != nil, CallsPerSecond: 50, Lease: testLease, Window: testWindow, ReportDue: 10 * time.Second, Tolerance: 0.05,
+			Usage: true, Scaling: w.planner != nil, CallsPerSecond: 50, Lease: testLease, Window: testWindow, ReportDue: 10 * time.Second, Tolerance: 0.05,
 		}},
-		Store: d, Cloud: d, Planner: planner, View: d.view, ViewEra: d.viewEra, Era: d.newestEra, Lease: d.ownLease, Send: d.send, Logger: log,
+		Store: d, Cloud: d, NewPlanner: w.planner, View: d.view, ViewEra: d.viewEra, Era: d.newestEra, Lease: d.ownLease, Send: d.send, SendDemand: d.sendDemand, Demand: d.demand, Logger: log,
 		SinceBoot: func() time.Time { return time.Unix(0, int64(time.Since(w.begin)+time.Hour)) },
 		TimeOfDay: func() time.Time { return time.Now().Add(d.skew).Round(0) },
 		Rand:      rand.New(rand.NewPCG(7, w.starts)),
 	})
-	d.set(func() { d.d, d.dead = started, false })
+	d.set(func() { d.d, d.dead, d.meter = started, false, sizing.NewMeter("a", time.Now()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go started.run(ctx)
 	go d.serve(ctx, started)
+	if w.planner != nil {
+		go d.stream(ctx)
+	}
 }
 
 // serve lets requests begin until ctx ends.
@@ -345,28 +362,37 @@
 }
 
 func (d *testDaemon) send(ctx context.Context, address string, messages []usage.Message) error {
+	receiver, err := d.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	for _, m := range messages {
+		if err := receiver.Merge(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reach returns the process at an address once a call has arrived there.
+func (d *testDaemon) reach(ctx context.Context, address string) (*duties, error) {
 	for _, o := range d.w.daemons {
 		if o.name+":1" != address {
 			continue
 		}
 		if err := d.link(ctx, &d.noOthers); err != nil {
-			return err
+			return nil, err
 		}
 		o.mu.Lock()
 		cut, receiver := o.noOthers || o.dead || o.thaw != nil, o.d
 		o.mu.Unlock()
 		if cut {
 			<-ctx.Done()
-			return ctx.Err()
+			return nil, ctx.Err()
 		}
-		for _, m := range messages {
-			if err := receiver.Merge(m); err != nil {
-				return err
-			}
-		}
-		return nil
+		return receiver, nil
 	}
-	return fmt.Errorf("no daemon at %s", address)
+	return nil, fmt.Errorf("no daemon at %s", address)
 }
 
 // storeCall makes a call to the store that takes effect in f.
@@ -484,12 +510,19 @@
 	if c.turnAway {
 		return ErrCallRate
 	}
-	c.orders = append(c.orders, fmt.Sprintf("%s %d %s %s %d", call.Holder, call.Token, service, dataCentre, n))
+	c.orders = append(c.orders, testOrder{at: time.Now(), call: call, service: service, dataCentre: dataCentre, n: n})
+	if c.loseOrders > 0 {
+		c.loseOrders--
+		return context.DeadlineExceeded
+	}
 	return nil
 }
 
-// holder returns the daemon that holds the duty.
-func (w *dutyWorld) holder() *testDaemon {
+// holder returns the daemon that holds the duty of usage reports.
+func (w *dutyWorld) holder() *testDaemon { return w.holderOf(subjectUsage) }
+
+// holderOf returns the daemon that holds a subject.
+func (w *dutyWorld) holderOf(subject string) *testDaemon {
 	for _, d := range w.daemons {
 		d.mu.Lock()
 		skip := d.dead || d.thaw != nil
@@ -498,7 +531,7 @@
 			continue
 		}
 		d.d.mu.Lock()
-		_, ok := d.d.machine.Holding(subjectUsage, d.d.o.SinceBoot())
+		_, ok := d.d.machine.Holding(subject, d.d.o.SinceBoot())
 		d.d.mu.Unlock()
 		if ok {
 			return d
@@ -695,51 +728,3 @@
 		}
 	})
 }
-
-// onePlan orders a number in each of two data centres, until the orders are accepted.
-type onePlan struct{ open map[string]int }
-
-func (p *onePlan) Orders(service string, _, _ time.Time) map[string]int {
-	if service != "llm" {
-		return nil
-	}
-	return p.open
-}
-
-func (p *onePlan) Ordered(_, dataCentre string, _ int, _ time.Time, err error) {
-	if err == nil {
-		delete(p.open, dataCentre)
-	}
-}
-
-// Guards against orders of replicas by daemons that do not hold the service's subject, and
-// against orders that are lost while the control service takes no calls.
-func TestHolderOfAServiceOrdersReplicas(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newPlannedWorld(t, 4, func() Planner { return &onePlan{open: map[string]int{"a": 3, "b": 2}} })
-		w.cloud.mu.Lock()
-		w.cloud.turnAway = true
-		w.cloud.mu.Unlock()
-		wait(8 * time.Second)
-		w.cloud.mu.Lock()
-		w.cloud.turnAway = false
-		w.cloud.mu.Unlock()
-		w.effect()
-		if len(w.cloud.orders) != 2 {
-			t.Fatalf("orders are %v", w.cloud.orders)
-		}
-		var holder string
-		var token uint64
-		for i, want := range []string{"a 3", "b 2"} {
-			var h, service, dataCentre string
-			var n int
-			if _, err := fmt.Sscan(w.cloud.orders[i], &h, &token, &service, &dataCentre, &n); err != nil {
-				t.Fatal(err)
-			}
-			if i > 0 && h != holder || service != "llm" || fmt.Sprint(dataCentre, " ", n) != want {
-				t.Errorf("order %d is %s, want %s", i, w.cloud.orders[i], want)
-			}
-			holder = h
-		}
-	})
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -59,11 +59,9 @@
 	Decoder  directory.Decoder
 	Protocol gateway.Protocol
 	Logger   *slog.Logger
-	// DutyStore and Cloud are needed if the settings have duties. Planner decides the
-	// numbers of replicas; without one, none are ordered.
+	// DutyStore and Cloud are needed if the settings have duties.
 	DutyStore DutyStore
 	Cloud     Cloud
-	Planner   Planner
 }
 
 // Edge is one gateway process.
@@ -124,10 +122,11 @@
 	if o.DutyStore == nil || o.Cloud == nil || o.Settings.RelayAddress == "" {
 		return nil, eris.New("duties need a store with transactions, a control service and an address for other daemons")
 	}
+	client := relay.NewClient(telemetry.WithPart(o.Logger, "relay"))
 	return newDuties(dutyOptions{
-		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, Planner: o.Planner, View: f.View,
+		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, NewPlanner: newSizingPlanner, View: f.View,
 		ViewEra: viewEra, Era: storeEra, Lease: f.Lease,
-		Send:      relay.NewClient(telemetry.WithPart(o.Logger, "relay")).SendUsage,
+		Send: client.SendUsage, SendDemand: client.SendDemand,
 		SinceBoot: bootclock.Now, TimeOfDay: time.Now, Logger: telemetry.WithPart(o.Logger, "duty"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}), nil
@@ -154,6 +153,9 @@
 		MaxHeldBodyBytes: int64(bodyMemoryShare * float64(o.Settings.MemoryMB<<20)),
 	})
 	f.SetOnView(g.OnView)
+	if o.Settings.Duties.Scaling {
+		d.setDemand(g.Demand)
+	}
 	return g
 }
 
@@ -233,13 +235,14 @@
 // relayHandler serves the calls of other daemons.
 func (e *Edge) relayHandler() http.Handler {
 	log := telemetry.WithPart(e.o.Logger, "relay")
-	content := relay.Handler(e.follower.Content, log)
-	if !e.o.Settings.Duties.Usage {
-		return content
-	}
 	mux := http.NewServeMux()
-	mux.Handle("/", content)
-	mux.Handle(relay.UsagePath, relay.UsageHandler(e.duties.Merge, log))
+	mux.Handle("/", relay.Handler(e.follower.Content, log))
+	if e.o.Settings.Duties.Usage {
+		mux.Handle(relay.UsagePath, relay.UsageHandler(e.duties.Merge, log))
+	}
+	if e.o.Settings.Duties.Scaling {
+		mux.Handle(relay.DemandPath, relay.DemandHandler(e.duties.MergeDemand, log))
+	}
 	return mux
 }
 
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -427,8 +427,3 @@
 func countLateRequest() {
 	metrics.GetOrCreateCounter(`gooseberryroad_usage_late_requests_total`).Inc()
 }
-
-// countOrder counts the orders of replicas.
-func countOrder(err error) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberryroad_duty_orders_total{accepted="%t"}`, err == nil)).Inc()
-}
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -48,13 +48,9 @@
 }
 
 func decodeUsage(w http.ResponseWriter, r *http.Request) (messages []usage.Message, status int, err error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxUsageBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge, eris.Errorf("the body has more than %d bytes", maxUsageBytes)
-	}
+	b, status, err := readBody(w, r, maxUsageBytes)
 	if err != nil {
-		return nil, http.StatusBadRequest, eris.Wrap(err, "read the body")
+		return nil, status, err
 	}
 	if err := json.Unmarshal(b, &messages); err != nil {
 		return nil, http.StatusBadRequest, eris.Wrap(err, "the body is not a list of usage counts")
@@ -62,13 +58,31 @@
 	return messages, http.StatusOK, nil
 }
 
+// readBody reads a body of at most limit bytes. status is that of the response if it fails.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (b []byte, status int, err error) {
+	b, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, http.StatusRequestEntityTooLarge, eris.Errorf("the body has more than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest, eris.Wrap(err, "read the body")
+	}
+	return b, http.StatusOK, nil
+}
+
 // SendUsage sends counts to the holder of usage reports at a relay address.
 func (c *Client) SendUsage(ctx context.Context, address string, messages []usage.Message) error {
-	b, err := json.Marshal(messages)
+	return c.post(ctx, address, UsagePath, messages)
+}
+
+// post sends a message as JSON to the daemon at a relay address.
+func (c *Client) post(ctx context.Context, address, path string, message any) error {
+	b, err := json.Marshal(message)
 	if err != nil {
-		return eris.Wrap(err, "encode the usage counts")
+		return eris.Wrap(err, "encode the message")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+UsagePath, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(b))
 	if err != nil {
 		return eris.Wrap(err, "make the request")
 	}
@@ -76,7 +90,7 @@
 	res, err := c.http.Do(req)
 	if err != nil {
 		c.http.CloseIdleConnections()
-		return eris.Wrap(err, "send the usage counts")
+		return eris.Wrap(err, "send the message")
 	}
 	defer res.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -243,6 +243,21 @@
 	return out
 }
 
+// StreamObjective returns the shortest objective of the streams of a service; 0 if none has
+// one. ok says that there is a route with streams to the service.
+func (t *Table) StreamObjective(service string) (objective time.Duration, ok bool) {
+	for _, r := range t.routesByName {
+		if r.Kind != Stream || !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+			continue
+		}
+		ok = true
+		if r.TargetLatency > 0 && (objective == 0 || r.TargetLatency < objective) {
+			objective = r.TargetLatency
+		}
+	}
+	return objective, ok
+}
+
 // UniquelyServes reports whether one of the models is served by the engines of
 // this service and of no other, so that an engine with that model belongs to the
 // service.
--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -178,7 +178,14 @@
 	return out
 }
 
-// Failed makes an order due again whose outcome is not known or that was rejected.
+// MaySend reports whether an order that Order returned may still be sent: not if upstreams
+// were lost since, or the service is not held any more.
+func (p *Planner) MaySend(o Order, now time.Time) bool {
+	s := p.services[o.Service]
+	return s != nil && !s.silent(now)
+}
+
+// Failed makes an order due again whose outcome is not known, that was rejected or not sent.
 func (p *Planner) Failed(o Order) {
 	if s := p.services[o.Service]; s != nil && s.dataCentres[o.DataCentre] != nil {
 		s.dataCentres[o.DataCentre].sentAt = time.Time{}
@@ -485,13 +492,18 @@
 	return n, reserve
 }
 
+// held reports whether upstreams were lost a short time ago, and silent whether nothing is
+// ordered for that.
+func (p *plan) held(now time.Time) bool { return !p.lostAt.IsZero() && now.Sub(p.lostAt) < lossHold }
+
+func (p *plan) silent(now time.Time) bool { return p.held(now) && now.Sub(p.lostSince) < maxLossHold }
+
 // order returns the orders of the service that are due.
 func (p *plan) order(s *samples, now time.Time) []Order {
 	maps.DeleteFunc(p.dataCentres, func(_ string, dc *dataCentre) bool {
 		return dc.serving+dc.draining == 0 && !dc.lostSince.IsZero() && now.Sub(dc.lostSince) >= forgetAfter
 	})
-	held := !p.lostAt.IsZero() && now.Sub(p.lostAt) < lossHold
-	if held && now.Sub(p.lostSince) < maxLossHold {
+	if p.silent(now) {
 		return nil
 	}
 	bin := s.lastBin(now)
@@ -512,19 +524,20 @@
 	maps.DeleteFunc(p.needs, func(b int64, _ need) bool { return b < bin-2*int64(lookback/interval) })
 
 	learning := now.Sub(p.since) < learnTime
-	mayLower := !learning && !held && covered && !d.rising && !p.service.Moving
+	mayLower := !learning && !p.held(now) && covered && !d.rising && !p.service.Moving
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(p.dataCentres)) {
 		dc := p.dataCentres[name]
 		next, rule := p.next(dc, number, raiseTo, sufficed, binding, mayLower, now)
 		changed := next != dc.number
-		if learning && !changed || !changed && !dc.due(now) || dc.removed() {
+		// While learning, only a changed number or one that did not go through is sent.
+		if !changed && (!dc.due(now) || learning && !dc.ordered) || dc.removed() {
 			continue
 		}
 		o := Order{Service: p.service.Name, DataCentre: name, Number: next, Previous: dc.number, Reasons: d.Reasons}
 		o.Reasons.Binding, o.Reasons.Local = rule, d.local[name]
 		out = append(out, o)
-		if next < dc.number {
+		if next < dc.number || dc.failed() {
 			dc.loweredAt = now
 		}
 		dc.number, dc.ordered, dc.sentAt = next, true, now
@@ -544,6 +557,9 @@
 	return out
 }
 
+// failed reports whether the last order did not go through.
+func (dc *dataCentre) failed() bool { return dc.ordered && dc.sentAt.IsZero() }
+
 // due reports whether an unchanged order must be sent again.
 func (dc *dataCentre) due(now time.Time) bool {
 	return dc.sentAt.IsZero() || now.Sub(dc.sentAt) >= resendInterval
@@ -605,7 +621,8 @@
 		return min(dc.serving, high), "moving"
 	}
 	target, rule := bound(sufficed)
-	if !mayLower || target >= dc.number || now.Sub(dc.loweredAt) < lowerInterval {
+	// The steps of orders that did not go through would add up to one large step.
+	if !mayLower || dc.failed() || target >= dc.number || now.Sub(dc.loweredAt) < lowerInterval {
 		return dc.number, "kept"
 	}
 	step := max(int(float64(dc.number)*lowerShare), 1)
--- a/sizing/sizinglog/sizinglog.go
+++ b/sizing/sizinglog/sizinglog.go
@@ -21,16 +21,15 @@
 type Recorder struct {
 	log *slog.Logger
 
-	mu            sync.Mutex
-	set           *metrics.Set
+	mu sync.Mutex
+	// sets holds the figures of the last orders by service.
+	sets          map[string]*metrics.Set
 	lastIgnoredAt time.Time
 }
 
 // New returns a recorder whose metrics are served with those of the process.
 func New(log *slog.Logger) *Recorder {
-	r := &Recorder{log: log, set: metrics.NewSet()}
-	metrics.RegisterSet(r.set)
-	return r
+	return &Recorder{log: log, sets: map[string]*metrics.Set{}}
 }
 
 // Orders logs and counts orders that are sent.
@@ -38,9 +37,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range orders {
+		set := r.sets[o.Service]
+		if set == nil {
+			set = metrics.NewSet()
+			metrics.RegisterSet(set)
+			r.sets[o.Service] = set
+		}
 		labels := fmt.Sprintf(`{service=%q,data_centre=%q}`, o.Service, o.DataCentre)
-		r.set.GetOrCreateGauge("gooseberryroad_sizing_ordered_replicas"+labels, nil).Set(float64(o.Number))
-		r.set.GetOrCreateGauge("gooseberryroad_sizing_demand_engines"+labels, nil).Set(o.Reasons.Local)
+		set.GetOrCreateGauge("gooseberryroad_sizing_ordered_replicas"+labels, nil).Set(float64(o.Number))
+		set.GetOrCreateGauge("gooseberryroad_sizing_demand_engines"+labels, nil).Set(o.Reasons.Local)
 		metrics.GetOrCreateCounter(`gooseberryroad_sizing_orders_total{rule="` + o.Reasons.Binding + `"}`).Inc()
 		why := o.Reasons
 		r.log.Info("replicas ordered", "service", o.Service, "data_centre", o.DataCentre, "number", o.Number, "previous", o.Previous,
@@ -49,12 +54,15 @@
 	}
 }
 
-// Released removes the figures of orders when this daemon no longer holds a service: those
-// of the next holder apply.
-func (r *Recorder) Released() {
+// Released removes the figures of a service that this daemon no longer holds: those of the
+// next holder apply.
+func (r *Recorder) Released(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.set.UnregisterAllMetrics()
+	if set := r.sets[service]; set != nil {
+		metrics.UnregisterSet(set, true)
+		delete(r.sets, service)
+	}
 }
 
 // Ignored logs and counts a message of which samples were ignored.
--- a/sizing/sizinglog/sizinglog_test.go
+++ b/sizing/sizinglog/sizinglog_test.go
@@ -34,7 +34,7 @@
 	if !strings.Contains(exposed(), gauge) || !strings.Contains(exposed(), `gooseberryroad_sizing_demand_engines{service="chat",data_centre="a"} 14.5`) {
 		t.Errorf("metrics are %s", exposed())
 	}
-	r.Released()
+	r.Released("chat")
 	if strings.Contains(exposed(), gauge) {
 		t.Error("the order is still a metric after the release")
 	}
