--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -124,6 +124,9 @@
 // sizedServices describes services to the planner. Those without streams have no demand that
 // could be measured and are left out.
 func sizedServices(v *directory.View, names []string) []sizing.Service {
+	if v.Table == nil {
+		return nil
+	}
 	var out []sizing.Service
 	for _, name := range names {
 		service, ok := v.Table.Service(name)
@@ -248,6 +251,13 @@
 	maps.DeleteFunc(s.sent, func(address string, sent *demandSent) bool {
 		return !sent.sending && !slices.Contains(holders, address)
 	})
+	holders = slices.DeleteFunc(holders, func(address string) bool {
+		if s.sent[address] == nil {
+			s.sent[address] = &demandSent{}
+		}
+		sent := s.sent[address]
+		return sent.sending || !sent.at.IsZero() && now.Sub(sent.at) < demandInterval
+	})
 	if len(holders) == 0 || d.o.Demand == nil {
 		return
 	}
@@ -258,11 +268,7 @@
 	next := m.Intervals[len(m.Intervals)-1].Seq + 1
 	for _, address := range holders {
 		sent := s.sent[address]
-		if sent == nil {
-			sent = &demandSent{}
-			s.sent[address] = sent
-		}
-		if sent.sending || sent.next >= next || !sent.at.IsZero() && now.Sub(sent.at) < demandInterval {
+		if sent.next >= next {
 			continue
 		}
 		sent.at = now
--- a/edge/scaling_test.go
+++ b/edge/scaling_test.go
@@ -245,8 +245,15 @@
 		w.setRate(0)
 		wait(150 * time.Second)
 		w.expectNumbers("no demand", testMin, testMin)
+		h := w.scalingHolder()
+		h.d.mu.Lock()
+		token, _ := h.d.machine.Holding(subjectScalingStart+"llm", h.d.o.SinceBoot())
+		h.d.mu.Unlock()
 		lowered := map[string]testOrder{}
 		for _, o := range w.end() {
+			if o.call != (CloudCall{Holder: h.name, Token: token}) {
+				t.Errorf("order of %+v, the holder is %s with token %d", o.call, h.name, token)
+			}
 			last, ok := lowered[o.dataCentre]
 			if ok && o.n < last.n && (o.at.Sub(last.at) < 2900*time.Millisecond || last.n-o.n > max(last.n/10, 1)) {
 				t.Errorf("%d after %d in %s within %v", o.n, last.n, o.dataCentre, o.at.Sub(last.at))
@@ -314,34 +321,112 @@
 	})
 }
 
+// Guards against a daemon that gave a service up and keeps its messages and orders, or takes
+// more of them.
+func TestDaemonForgetsAServiceThatItGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newScaledWorld(t, 4)
+		wait(20 * time.Second)
+		h := w.scalingHolder()
+		h.d.stop(context.Background())
+		stopped := time.Now()
+		wait(5 * time.Second)
+		h.d.mu.Lock()
+		if s := h.d.scaling; s.planner != nil || len(s.held)+len(s.queue)+len(s.calledAt) > 0 {
+			t.Errorf("still there: %+v", s)
+		}
+		h.d.mu.Unlock()
+		if err := h.d.MergeDemand(relay.Demand{Daemon: "d9"}); err == nil {
+			t.Error("demand is taken by a daemon that holds no service")
+		}
+		wait(15 * time.Second)
+		after := w.ordersSince(stopped)
+		for _, o := range after {
+			if o.call.Holder == h.name {
+				t.Errorf("order of the daemon that stopped: %+v", o)
+			}
+		}
+		if len(after) == 0 {
+			t.Error("no orders after the stop")
+		}
+		w.end()
+	})
+}
+
 // Guards against an order that is lost because its response was lost or because the control
 // service took no calls.
 func TestOrdersThatDidNotGoThroughAreSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newScaledWorld(t, 4)
-		wait(30 * time.Second)
+		// expect checks that each data centre gets a number of at least n within the time that
+		// a repeat takes.
+		expect := func(what string, since time.Time, n, times int) {
+			t.Helper()
+			sent := map[string]int{}
+			for _, o := range w.ordersSince(since) {
+				if o.n >= n {
+					sent[o.dataCentre]++
+				}
+			}
+			if sent["a"] != times || sent["b"] != times {
+				t.Errorf("%s: orders are %+v", what, w.ordersSince(since))
+			}
+		}
+		wait(60 * time.Second)
+		last := w.ordersSince(time.Time{})
+		w.cloud.mu.Lock()
+		w.cloud.loseOrders = 2
+		w.cloud.mu.Unlock()
+		// The numbers are sent again after 10 s at the latest.
+		for n := len(last); len(w.ordersSince(time.Time{})) < n+2; {
+			wait(10 * time.Millisecond)
+		}
+		lostAt := w.ordersSince(time.Time{})[len(last)].at
+		wait(1500 * time.Millisecond)
+		expect("responses lost", lostAt, testNumber, 2)
+
 		w.cloud.mu.Lock()
 		w.cloud.turnAway = true
 		w.cloud.mu.Unlock()
 		w.setRate(3 * testRate)
-		wait(8 * time.Second)
+		wait(7 * time.Second)
 		refusedUntil := time.Now()
 		w.cloud.mu.Lock()
-		w.cloud.turnAway, w.cloud.loseOrders = false, 2
+		w.cloud.turnAway = false
+		w.cloud.mu.Unlock()
+		wait(1200 * time.Millisecond)
+		expect("refused", refusedUntil, testRaised, 1)
+		w.end()
+	})
+}
+
+// Guards against replicas that are stopped many at a time once the control service takes
+// calls again: the steps of the orders that it refused must not add up.
+func TestStepsOfRefusedOrdersDoNotAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newScaledWorld(t, 30)
+		wait(20 * time.Second)
+		before := w.numbers(w.ordersSince(time.Time{}))
+		w.cloud.mu.Lock()
+		w.cloud.turnAway = true
 		w.cloud.mu.Unlock()
-		wait(4 * time.Second)
-		sent := map[string]int{}
-		for _, o := range w.ordersSince(refusedUntil) {
-			if o.n >= testRaised {
-				sent[o.dataCentre]++
+		wait(20 * time.Second)
+		w.cloud.mu.Lock()
+		w.cloud.turnAway = false
+		w.cloud.mu.Unlock()
+		back := time.Now()
+		wait(2900 * time.Millisecond)
+		for dc, n := range w.numbers(w.ordersSince(back)) {
+			if before[dc] < 20 || before[dc]-n > before[dc]/10 || n > before[dc] {
+				t.Errorf("%d ordered in %s, %d before", n, dc, before[dc])
 			}
 		}
-		// Once with a lost response, and again.
-		if sent["a"] < 2 || sent["b"] < 2 {
-			t.Errorf("orders after the refusals: %+v", w.ordersSince(refusedUntil))
+		if len(w.ordersSince(back)) == 0 {
+			t.Error("nothing is ordered")
 		}
-		if n := len(w.ordersSince(refusedUntil)); n > 8 {
-			t.Errorf("%d orders in 4 s", n)
+		wait(30 * time.Second)
+		if got := w.numbers(w.ordersSince(back)); got["a"] > 18 || got["b"] > 18 {
+			t.Errorf("numbers are not lowered after the refusals: %v", got)
 		}
 		w.end()
 	})
@@ -433,8 +518,6 @@
 		if len(w.cloud.orders) != 2 {
 			t.Fatalf("orders are %v", w.cloud.orders)
 		}
-		// The data centre that was refused the longest ago is the first one.
-		slices.SortFunc(w.cloud.orders, func(a, b testOrder) int { return b.n - a.n })
 		for i, want := range []string{"a 3", "b 2"} {
 			o := w.cloud.orders[i]
 			if o.call != w.cloud.orders[0].call || o.service != "llm" || fmt.Sprint(o.dataCentre, " ", o.n) != want {
--- a/sizing/planner_test.go
+++ b/sizing/planner_test.go
@@ -539,6 +539,46 @@
 	}
 }
 
+// Guards against an order of a new holder that is lost with the call that carried it.
+func TestFailedRaiseIsDueAgainWhileLearning(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"a": 20, "b": 20, "c": 20, "d": 20})
+	for len(f.orders) == 0 && f.elapsed() < 8*time.Second {
+		f.run(f.elapsed() + tick)
+	}
+	if len(f.orders) == 0 || f.elapsed() >= 8*time.Second {
+		t.Fatalf("no raise within %s", f.elapsed())
+	}
+	raise := f.orders[0].Order
+	f.planner.Failed(raise)
+	again := f.planner.Order(f.now)
+	if !slices.ContainsFunc(again, func(o sizing.Order) bool { return o.DataCentre == raise.DataCentre && o.Number >= raise.Number }) {
+		t.Errorf("%+v is not ordered again: %v", raise, again)
+	}
+}
+
+// Guards against an order that waits and is sent although upstreams were lost meanwhile.
+func TestWaitingOrderIsNotSentAfterALoss(t *testing.T) {
+	f := newFleet(t, 1, usualEngines)
+	f.run(40 * time.Second)
+	o := f.orders[len(f.orders)-1].Order
+	if !f.planner.MaySend(o, f.now) {
+		t.Fatal("nothing was lost")
+	}
+	f.crash("a", time.Hour)
+	f.run(41 * time.Second)
+	if f.planner.MaySend(o, f.now) {
+		t.Error("the order is sent a second after upstreams were lost")
+	}
+	f.run(46 * time.Second)
+	if !f.planner.MaySend(o, f.now) {
+		t.Error("no order is sent 6 s after upstreams were lost")
+	}
+	f.planner.SetServices(nil, f.now)
+	if f.planner.MaySend(o, f.now) {
+		t.Error("the order of a service that is not held is sent")
+	}
+}
+
 // Guards against an order that exceeds the present number of a deployment with one data
 // centre by a reserve that cannot help there.
 func TestOneDataCentre(t *testing.T) {
