--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -88,7 +88,8 @@
 	if err != nil {
 		return err
 	}
-	if err := d.Start(e.ctx); err != nil {
+	// A context that ends meanwhile stops the daemon below, which fails if it has half started.
+	if err := d.Start(context.WithoutCancel(e.ctx)); err != nil {
 		return err
 	}
 	watching, stopWatching := context.WithCancel(e.ctx)
--- a/cli/gateway_test.go
+++ b/cli/gateway_test.go
@@ -92,6 +92,16 @@
 		Eventually(code, "8s").Should(Receive(Equal(cli.ExitOK)))
 	})
 
+	// Guards against a daemon that fails, with its listeners left open, because it is asked to
+	// stop while it starts.
+	It("stops in order when its context ends while it starts", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
+		Expect(os.WriteFile(path, []byte(settings(3)), 0o600)).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(cli.Run(ctx, []string{"gateway", "--config", path}, io.Discard, io.Discard)).To(Equal(cli.ExitOK))
+	})
+
 	// Guards against a process that is killed for its memory while much of it is garbage.
 	It("collects garbage before it reaches the memory of its settings", func() {
 		GinkgoT().Setenv("GOMEMLIMIT", "")
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -122,7 +122,12 @@
 	table := g.o.Directory.View().Table
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.SetLoad(in.ID, *head.Load, now)
+	if head.Load.Pace == 0 {
+		// Where loads are uneven, the report is older than the queue that it tells of, and
+		// placement by it fills one upstream after the other. The gate uses it as evidence of
+		// the load of all.
+		g.tracker.SetLoad(in.ID, *head.Load, now)
+	}
 	if head.Misdirected || r.engine != nil || r.route.Kind == routes.Stream {
 		return
 	}
--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -23,8 +23,8 @@
 	// minRecent is the number of such reports, and minRecentUnasked that for a refusal without
 	// any query.
 	minRecent, minRecentUnasked = 5, 10
-	// closeShare is the part of the objective within which estimates count as equal. Daemons
-	// that read the same reports would otherwise all choose the same engine.
+	// closeShare is the part of the objective within which estimates count as equal, so that
+	// the number of requests decides, and then chance.
 	closeShare = 0.05
 	// maxRefusedShare bounds the effect of the share of refused requests.
 	maxRefusedShare = 0.8
@@ -174,6 +174,10 @@
 	if len(local) > 0 {
 		all = local
 	}
+	// An engine with fewer requests generates output faster. Daemons that read the same reports
+	// would all choose the same one of several equals.
+	fewest := slices.MinFunc(all, func(x, y option) int { return x.est.Requests - y.est.Requests }).est.Requests
+	all = slices.DeleteFunc(all, func(o option) bool { return o.est.Requests > fewest })
 	chosen := all[min(int(draw*float64(len(all))), len(all)-1)]
 	return Decision{Verdict: Place, Engine: chosen.Engine, Estimate: chosen.est}
 }
--- a/headroom/estimate.go
+++ b/headroom/estimate.go
@@ -28,6 +28,8 @@
 	planned time.Duration
 	// Idle says that the engine has a free slot and no prompt to read before this one.
 	Idle bool
+	// Requests is the number of requests that run or wait at the engine.
+	Requests int
 	// Full says that all slots are taken, none of them by a less urgent run.
 	Full bool
 	// MemoryWait is the time for which the wait for room in the KV cache outlasts the other
@@ -80,6 +82,7 @@
 	est.Reported = true
 	known, waiting, hasLessUrgent := t.tokensAhead(e, s, r, now)
 	l := t.load(e)
+	est.Requests = l.Running + l.Waiting
 	slotsTaken := e.report.Slots > 0 && l.Running >= e.report.Slots
 	est.Full = slotsTaken && !hasLessUrgent
 	est.Idle = known == 0 && !slotsTaken
