--- a/edge/duties.go
+++ b/edge/duties.go
@@ -74,6 +74,8 @@
 	Cloud    Cloud
 	// NewPlanner makes the planner of replicas.
 	NewPlanner func(now time.Time) replicaPlanner
+	// LowerAfter is how long a daemon has to hold a service before it orders fewer replicas.
+	LowerAfter time.Duration
 	View       func() *directory.View
 	// ViewEra returns the store's era of a view, Era the newest one that any response of the
 	// store named.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -129,7 +129,7 @@
 	}
 	client := relay.NewClient(telemetry.WithPart(o.Logger, "relay"))
 	return newDuties(dutyOptions{
-		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, NewPlanner: newSizingPlanner, View: f.View,
+		Settings: o.Settings, Store: o.DutyStore, Cloud: o.Cloud, NewPlanner: newSizingPlanner, LowerAfter: lowerReplicasAfter, View: f.View,
 		ViewEra: viewEra, Era: func() uint64 { return uint64(f.Era()) }, Lease: f.Lease,
 		Send: client.SendUsage, SendDemand: client.SendDemand,
 		SinceBoot: bootclock.Now, TimeOfDay: time.Now, Logger: telemetry.WithPart(o.Logger, "duty"),
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -38,6 +38,12 @@
 	Failed(o sizing.Order)
 }
 
+// lowerReplicasAfter is how long a daemon holds a service before it orders fewer replicas. A
+// replica that leaves moves its streams, which are late then; it has to stay away for
+// minutes to be worth that, and a holder that has just taken over knows too little of the
+// demand of minutes.
+const lowerReplicasAfter = time.Minute
+
 func newSizingPlanner(now time.Time) replicaPlanner { return sizing.NewPlanner(now) }
 
 // scaling is the state of a daemon whose deployment orders replicas. It is guarded by the
@@ -98,7 +104,7 @@
 	}
 	if s.view != d.view || !slices.Equal(s.held, held) {
 		s.held, s.view = held, d.view
-		s.planner.SetServices(sizedServices(d.view0(), held), now)
+		s.planner.SetServices(sizedServices(d.view0(), held, d.o.LowerAfter), now)
 	}
 	if !now.Before(s.nextPlan) {
 		s.nextPlan = now.Add(planInterval)
@@ -123,7 +129,7 @@
 
 // sizedServices describes services to the planner. Those without streams have no demand that
 // could be measured and are left out.
-func sizedServices(v *directory.View, names []string) []sizing.Service {
+func sizedServices(v *directory.View, names []string, lowerAfter time.Duration) []sizing.Service {
 	if v.Table == nil {
 		return nil
 	}
@@ -134,7 +140,7 @@
 		if !ok || service.Scaling == nil || !streams {
 			continue
 		}
-		s := sizing.Service{Name: name, Scaling: *service.Scaling, Objective: objective, Daemons: v.Daemons}
+		s := sizing.Service{Name: name, Scaling: *service.Scaling, Objective: objective, Daemons: v.Daemons, LowerAfter: lowerAfter}
 		if c, ok := v.Cutovers[name]; ok {
 			s.Moving = c.Order.Open(c.Status)
 		}
@@ -163,7 +169,7 @@
 		s.planner = nil
 		return
 	}
-	s.planner.SetServices(sizedServices(d.view0(), s.held), d.o.SinceBoot())
+	s.planner.SetServices(sizedServices(d.view0(), s.held, d.o.LowerAfter), d.o.SinceBoot())
 }
 
 // plan decides the numbers. Orders that have not been sent since the last time are decided
--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -62,10 +62,16 @@
 	if !present {
 		s.state.SetCopied(false)
 		next, ok := s.chooseCopyTarget(p.upstream)
-		s.g.o.Logger.Info("copy lost", "id", s.r.ID, "upstream", p.upstream.ID, "copy", p.copyTo.ID, "next", next.ID)
+		if p.copyTo.ID != "" || ok || s.search == nil {
+			s.g.o.Logger.Info("copy lost", "id", s.r.ID, "upstream", p.upstream.ID, "copy", p.copyTo.ID, "next", next.ID)
+		}
 		c.free(*p)
 		p.copyTo, p.copyHandle = registry.Instance{}, ""
 		if !ok {
+			if s.search != nil {
+				// No engine has room for a copy, which does not change within one check.
+				c.lastCallAt = now
+			}
 			return
 		}
 		to = next
--- a/sizing/fleet_test.go
+++ b/sizing/fleet_test.go
@@ -97,7 +97,9 @@
 	// deliver passes a message on; nil passes it at once.
 	deliver func(d *testDaemon, m sizing.Message)
 	// actions happen at a time since the start.
-	actions map[time.Duration]func()
+	// lowerAfter is how long the planner observes before it orders less.
+	lowerAfter time.Duration
+	actions    map[time.Duration]func()
 }
 
 var usualEngines = map[string]int{"a": 46, "b": 44, "c": 44, "d": 44}
@@ -140,7 +142,7 @@
 
 // service returns what the directory knows.
 func (f *fleet) service() sizing.Service {
-	s := sizing.Service{Name: service, Scaling: f.scaling, Objective: objective, Moving: f.moving, Daemons: len(f.daemons)}
+	s := sizing.Service{Name: service, Scaling: f.scaling, Objective: objective, Moving: f.moving, Daemons: len(f.daemons), LowerAfter: f.lowerAfter}
 	for _, e := range f.engines {
 		if e.serves(f.now) {
 			s.Instances = append(s.Instances, registry.Instance{ID: e.id, Service: service, DataCentre: e.dataCentre,
--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -102,6 +102,9 @@
 	Instances []registry.Instance
 	// Daemons is the number of registered daemons; 0 is unknown.
 	Daemons int
+	// LowerAfter is how long a planner observes the service before it orders a lower number,
+	// if that is longer than it takes to learn the demand.
+	LowerAfter time.Duration
 }
 
 // Reasons are the figures from which an order follows. Demand is in engines that would be
@@ -524,7 +527,7 @@
 	maps.DeleteFunc(p.needs, func(b int64, _ need) bool { return b < bin-2*int64(lookback/interval) })
 
 	learning := now.Sub(p.since) < learnTime
-	mayLower := !learning && !p.held(now) && covered && !d.rising && !p.service.Moving
+	mayLower := !learning && now.Sub(p.since) >= p.service.LowerAfter && !p.held(now) && covered && !d.rising && !p.service.Moving
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(p.dataCentres)) {
 		dc := p.dataCentres[name]
--- a/sizing/planner_test.go
+++ b/sizing/planner_test.go
@@ -672,3 +672,16 @@
 		t.Errorf("%d engines are ordered: %s", last.Number, last.Reasons)
 	}
 }
+
+// Guards against replicas that leave, and move their streams, for a calm of seconds. Load: the
+// usual demand before more engines than it needs.
+func TestNothingLowerBeforeLowerAfter(t *testing.T) {
+	f := newFleet(t, 1, usualEngines)
+	f.lowerAfter = time.Minute
+	f.run(55 * time.Second)
+	for _, o := range f.ordersIn(0, 55*time.Second) {
+		if o.Number < o.Previous {
+			t.Errorf("%d replicas are ordered in place of %d", o.Number, o.Previous)
+		}
+	}
+}
