headroom: engines of other data centres are used where they have two requests fewer

Placement counts two requests for another data centre; the choice now does the same. Tests of headroom green.

--- a/headroom/decide.go
+++ b/headroom/decide.go
@@ -28,6 +28,9 @@
 	closeShare = 0.05
 	// maxRefusedShare bounds the effect of the share of refused requests.
 	maxRefusedShare = 0.8
+	// remoteRequests is how many requests fewer an engine of another data centre must have to be
+	// preferred. All streams of a busy data centre in its own engines are lost together.
+	remoteRequests = 2
 	// minRetryAfter and maxRetryAfter bound the time after which a refused client returns,
 	// shortestRetryAfter that of one with hardly any time left.
 	minRetryAfter      = 100 * time.Millisecond
@@ -160,24 +163,27 @@
 			}
 		}
 	}
-	var local, all []option
+	// An engine with fewer requests generates output faster, and one of another data centre has
+	// to have remoteRequests fewer. Daemons that read the same reports would all choose the
+	// same one of several equals.
+	var all []option
+	fewest := 0
 	bound := best.est.Time + time.Duration(closeShare*float64(q.Objective))
 	for _, o := range options {
 		if o.est.Time > bound || best.est.Idle && !o.est.Idle {
 			continue
 		}
-		all = append(all, o)
-		if o.Local {
-			local = append(local, o)
+		requests := o.est.Requests
+		if !o.Local {
+			requests += remoteRequests
+		}
+		if len(all) == 0 || requests < fewest {
+			all, fewest = all[:0], requests
+		}
+		if requests == fewest {
+			all = append(all, o)
 		}
 	}
-	if len(local) > 0 {
-		all = local
-	}
-	// An engine with fewer requests generates output faster. Daemons that read the same reports
-	// would all choose the same one of several equals.
-	fewest := slices.MinFunc(all, func(x, y option) int { return x.est.Requests - y.est.Requests }).est.Requests
-	all = slices.DeleteFunc(all, func(o option) bool { return o.est.Requests > fewest })
 	chosen := all[min(int(draw*float64(len(all))), len(all)-1)]
 	return Decision{Verdict: Place, Engine: chosen.Engine, Estimate: chosen.est}
 }
