cli: a stop waits a moment for a SIGHUP that was sent before it

Cause: SIGHUP and SIGTERM that are sent one after the other can be delivered in the other order; the stop then had the grace of the old settings.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -25,6 +25,10 @@
 // lastReloadTimeout bounds how long a stop waits for settings that are being read.
 const lastReloadTimeout = 200 * time.Millisecond
 
+// signalDelay is how long a stop waits for a SIGHUP that was sent before the SIGTERM: the
+// runtime may deliver them in the other order.
+const signalDelay = 50 * time.Millisecond
+
 // logFlushTimeout bounds the writing of the last lines of the log. It is shorter than what a
 // stop leaves of its grace.
 const logFlushTimeout = 250 * time.Millisecond
@@ -130,6 +134,8 @@
 // finish waits until the settings of a signal that came before are in force, at most for
 // lastReloadTimeout: the grace of a stop may be among them.
 func (w *settingsWatcher) finish() {
+	// Of two signals that were sent one after the other, the later one can arrive first.
+	time.Sleep(signalDelay)
 	timer := time.NewTimer(lastReloadTimeout)
 	defer timer.Stop()
 	select {
