--- a/review/.standin-2/engine.go
+++ b/review/.standin-2/engine.go
@@ -66,7 +66,9 @@
 	engines []*engine
 	byAddr  map[string]*engine
 	key     string
-	foreign int
+	// secondKey is another key of the same tenant; empty if it was taken away.
+	secondKey string
+	foreign   int
 	// extra lets one engine write one answer to a kv-move once more, late; spoiled is that
 	// engine then, and misled the request whose answer is expected there.
 	extra   bool
@@ -81,8 +83,8 @@
 )
 
 func newWorld(zones []string, perZone int) *world {
-	w := &world{store: newStore(), byAddr: map[string]*engine{}, key: "xd9dnn2ctnfzs989anu6"}
-	w.putConfig(7)
+	w := &world{store: newStore(), byAddr: map[string]*engine{}, key: "xd9dnn2ctnfzs989anu6", secondKey: "wsjnbanfqasnmgkcuyj8"}
+	w.putConfig(7, 15)
 	for _, z := range zones {
 		for i := range perZone {
 			w.addEngine(fmt.Sprintf("i-%s%d", z, i), z)
@@ -91,20 +93,33 @@
 	return w
 }
 
-func (w *world) putConfig(version int) {
+// putConfig writes a configuration with one route that is used and a number of others.
+func (w *world) putConfig(version, others int) {
+	routes := []map[string]any{route("r-stream", "/lohu930/")}
+	for i := range others {
+		routes = append(routes, route(fmt.Sprintf("r-%07d", i), "/pufi"+pad(i)+"/"))
+	}
+	keys := []string{w.key}
+	if w.secondKey != "" {
+		keys = append(keys, w.secondKey)
+	}
 	w.store.put("op/config", map[string]any{
 		"version": version,
-		"routes": []map[string]any{
-			{"name": "r-stream", "host": host, "path-prefix": "/lohu930/", "kind": "stream", "timeout-ms": 25000, "target-latency-ms": 4500, "priority": 1, "service": engineService, "max-attempts": 5, "anonymous": false, "sticky": true, "can-resume": true, "gap-aim-ms": 700},
-		},
+		"routes":  routes,
 		"services": []map[string]any{
 			{"name": engineService, "health-path": "/health", "max-conns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 64, "kv-capacity-tokens": 88000, "token-kv-bytes": 18432, "link-mbps": 180000.0, "moves": true, "backups": true, "stride": 6, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-s": 4.0, "models": []map[string]any{{"name": "m"}}}},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{{"name": "huka270", "api-keys": []string{w.key}, "priority": 1}},
+		"tenants": []map[string]any{{"name": "huka270", "api-keys": keys, "priority": 1}},
 	})
 }
 
+func pad(n int) string { return fmt.Sprintf("%04d", n) }
+
+func route(name, prefix string) map[string]any {
+	return map[string]any{"name": name, "host": host, "path-prefix": prefix, "kind": "stream", "timeout-ms": 25000, "target-latency-ms": 4500, "priority": 1, "service": engineService, "max-attempts": 5, "anonymous": false, "sticky": true, "can-resume": true, "gap-aim-ms": 700}
+}
+
 func (w *world) addEngine(id, zone string) *engine {
 	l := listen()
 	e := &engine{w: w, id: id, zone: zone, addr: l.Addr().String(), l: l, born: time.Now().UnixMilli(), runs: map[string]*run{}, copies: map[string]memory{}, handles: map[string]int{}, streams: map[net.Conn]*run{}}
@@ -113,11 +128,12 @@
 	w.byAddr[e.addr] = e
 	w.mu.Unlock()
 	e.register()
-	go e.heartbeat()
 	go e.accept()
 	return e
 }
 
+// register writes the entry. The heartbeats that follow change no more than its sequence, so that
+// the store keeps it as it is.
 func (e *engine) register() {
 	e.mu.Lock()
 	e.seq++
@@ -126,19 +142,6 @@
 	e.w.store.put("servers/"+e.id, map[string]any{"service": engineService, "address": e.addr, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0, "sequence": seq, "born": e.born})
 }
 
-func (e *engine) heartbeat() {
-	for {
-		time.Sleep(1200 * time.Millisecond)
-		e.mu.Lock()
-		down := e.down
-		e.mu.Unlock()
-		if down {
-			return
-		}
-		e.register()
-	}
-}
-
 // crash closes the port and all channels at once.
 func (e *engine) crash() {
 	e.mu.Lock()
@@ -336,7 +339,6 @@
 	e.w.mu.Unlock()
 	e.w.store.remove("servers/" + e.id)
 	n.register()
-	go n.heartbeat()
 	go n.accept()
 	logf("engine %s is back as %s", e.id, n.id)
 }
--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -9,6 +9,8 @@
 
 var cases = map[string]func(trouble bool) bool{
 	"handles": handlesCase,
+	"storms":  stormsCase,
+	"frozen":  frozenCase,
 }
 
 func main() {
--- a/review/.standin-2/store.go
+++ b/review/.standin-2/store.go
@@ -31,12 +31,17 @@
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]item
-	events   []item
-	changed  chan struct{}
-	leases   map[uint64]*time.Timer
-	last     uint64
+	// events is the history of the last historyTime; oldest is the revision before it.
+	events  []item
+	eventAt []time.Time
+	oldest  uint64
+	changed chan struct{}
+	leases  map[uint64]*time.Timer
+	last    uint64
 }
 
+const historyTime = 20 * time.Second
+
 func newStore() *store {
 	l := listen()
 	s := &store{addr: l.Addr().String(), revision: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[uint64]*time.Timer{}}
@@ -101,11 +106,24 @@
 }
 
 func (s *store) notify(i item) {
-	s.events = append(s.events, i)
+	s.trim()
+	s.events, s.eventAt = append(s.events, i), append(s.eventAt, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// trim discards history that is older than historyTime. s.mu must be held.
+func (s *store) trim() {
+	n := 0
+	for n < len(s.events) && time.Since(s.eventAt[n]) > historyTime {
+		s.oldest = s.events[n].Revision
+		n++
+	}
+	if n > 0 {
+		s.events, s.eventAt = append([]item{}, s.events[n:]...), append([]time.Time{}, s.eventAt[n:]...)
+	}
+}
+
 func (s *store) reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -186,14 +204,19 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.trim()
 		var out []item
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("path-prefix")) {
 				out = append(out, e)
 			}
 		}
-		rev, changed := s.revision, s.changed
+		rev, changed, gone := s.revision, s.changed, after < s.oldest
 		s.mu.Unlock()
+		if gone {
+			s.reply(w, 410, map[string]any{})
+			return
+		}
 		if len(out) > 0 {
 			s.reply(w, 200, map[string]any{"events": out, "store-revision": rev})
 			return
--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -86,8 +86,12 @@
 	fmt.Fprintf(&b, "node = %q\nrole = \"gateway\"\nmachine-class = \"front\"\nserves = [\"front\",\"control\"]\nip = \"127.0.0.1\"\nzone = %q\nregion = \"r\"\n", d.name, d.zone)
 	fmt.Fprintf(&b, "internal-ports = [%d,%d]\nseeds = [\"%s\"]\nfirst-start = true\nloss-counts = false\ndiscovery = \"platform\"\nentry = \"virtual_ip\"\nheartbeat-interval-ms = 1200\n", d.metrics, d.metrics, strings.Join(seeds, `","`))
 	b.WriteString("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"rollout\",\"pressure\",\"platform\"]\n[zones]\n")
+	listed := map[string]bool{}
 	for _, z := range zones {
-		fmt.Fprintf(&b, "%s = \"r\"\n", z)
+		if !listed[z] {
+			fmt.Fprintf(&b, "%s = \"r\"\n", z)
+		}
+		listed[z] = true
 	}
 	fmt.Fprintf(&b, "[listen]\nfront = %q\nready = %q\ncontrol = %q\n", d.front, d.ready, d.control)
 	b.WriteString("[limits]\ncpu-share = 0.4\ncores = 1\nmemory-mb = 134\nmax-fds = 4100\nlink-mbps = 1000.0\ndisk-mb = 0\n[tolerate]\nmachines = 2\nzones = 1\nregions = 0\n")
@@ -164,13 +168,15 @@
 	fail("daemon %s is not ready", d.name)
 }
 
-// startDaemons starts one daemon in each zone.
+// startDaemons starts one daemon for each entry of zones, which may be repeated.
 func startDaemons(zones []string, store string) []*daemon {
 	var seeds []string
 	for i, z := range zones {
 		d := newDaemon(fmt.Sprintf("front-%s-%d", z, i+1), z)
 		daemons = append(daemons, d)
-		seeds = append(seeds, d.control)
+		if len(seeds) < 3 {
+			seeds = append(seeds, d.control)
+		}
 	}
 	for _, d := range daemons {
 		d.writeSettings(zones, seeds, store)
