--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -68,10 +69,26 @@
 	done                              chan struct{}
 }
 
+var takenPorts = map[int]bool{}
+
+// freePort returns a port below those that the system gives to outgoing channels, so that none of
+// these takes it before the daemon listens.
 func freePort() int {
-	l := listen()
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for range 1000 {
+		port := 15000 + rand.IntN(15000)
+		if takenPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		takenPorts[port] = true
+		return port
+	}
+	fail("no free port")
+	return 0
 }
 
 func freeAddr() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
