upstream, gateway: the header of a response is not changed while its body is read

Cause: stream.sendHead deleted hop-by-hop fields of an upstream's response while the goroutine that reads the body read Keep-Alive at its end. A daemon could end with "concurrent map read and map write", and a connection lost the idle time that the upstream stated. The pool now reads the time with the head, and the gateway copies the fields before it removes any.

--- a/gateway/header.go
+++ b/gateway/header.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"strings"
 )
@@ -24,8 +25,10 @@
 	}
 }
 
-func copyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = append([]string(nil), values...)
-	}
+// copyResponseHeader copies the fields of an upstream's response, except the hop-by-hop ones,
+// and leaves src as it is: the body of the response may still be read.
+func copyResponseHeader(dst, src http.Header) {
+	src = src.Clone()
+	RemoveConnectionHeaders(src)
+	maps.Copy(dst, src)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -392,8 +392,7 @@
 func (s *stream) sendHead(h http.Header) {
 	s.headSent.Store(true)
 	s.headSentAt = time.Now()
-	RemoveConnectionHeaders(h)
-	copyHeader(s.w.Header(), h)
+	copyResponseHeader(s.w.Header(), h)
 	s.g.closeConnectionIfDraining(s.r.Call, s.w.Header())
 	s.w.WriteHeader(http.StatusOK)
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -399,8 +399,7 @@
 // deliver sends an upstream's complete response to the client.
 func (g *Gateway) deliver(w http.ResponseWriter, r *request, in registry.Instance, resp *bufferedResponse) {
 	h := w.Header()
-	RemoveConnectionHeaders(resp.header)
-	copyHeader(h, resp.header)
+	copyResponseHeader(h, resp.header)
 	h.Set("Content-Length", strconv.Itoa(len(resp.body)))
 	g.closeConnectionIfDraining(r.Call, h)
 	w.WriteHeader(resp.status)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -176,7 +176,7 @@
 		c.close()
 		return nil, err
 	}
-	body := &responseBody{pool: p, conn: c, res: res, stop: stop, written: written}
+	body := &responseBody{pool: p, conn: c, res: res, stop: stop, written: written, keepFor: p.keepAliveTime(res.Header)}
 	return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
@@ -290,6 +290,9 @@
 	res     *http.Response
 	stop    func() bool
 	written <-chan error
+	// keepFor is how long the connection may be idle afterwards. It is read with the head
+	// because the caller may change the header while another goroutine reads the body.
+	keepFor time.Duration
 	// writeEnded is set once the result of the write, writeErr, was received from written.
 	writeEnded bool
 	writeErr   error
@@ -330,7 +333,7 @@
 		b.conn.close()
 		return
 	}
-	b.pool.put(b.conn, b.pool.keepAliveTime(b.res.Header))
+	b.pool.put(b.conn, b.keepFor)
 }
 
 // endedInOrder reports whether the end of the body that was read is the end of the response.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -269,6 +269,22 @@
 		Expect(p.conns.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a connection that is used after the upstream's timeout, and against a
+	// race with the caller, which may remove hop-by-hop fields before the body has ended.
+	It("reads the timeout of a connection with the head", func() {
+		o := upstream.DefaultOptions()
+		o.MaxIdleTime = time.Hour
+		pool = upstream.NewPool(o)
+		p := newFakeUpstream(true, completeResponse, completeResponse)
+		resp, err := pool.Do(context.Background(), p.request())
+		Expect(err).NotTo(HaveOccurred())
+		resp.Header.Del("Keep-Alive")
+		Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("ok"))
+		pool.Sweep(time.Now().Add(time.Minute))
+		Expect(do(p)).To(Equal("ok"))
+		Expect(p.conns.Load()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a response that looks complete although its upstream stopped in the
 	// middle of the head: without a length the body is empty then, and nothing is missing.
 	It("takes no response whose head is cut off at any place", func() {
