--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -82,7 +82,7 @@
 	if !ok || !view.Table.UniquelyServes(old.Service, report.Models) {
 		return false
 	}
-	_, header, err := g.askWithHeader(ctx, old, http.MethodGet, service.HealthPath, nil)
+	_, header, err := g.askWithHeader(ctx, old, controlCall{method: http.MethodGet, target: service.HealthPath})
 	if err != nil {
 		g.o.Logger.Info("engine not adopted", "address", old.Address, "cause", err)
 		return false
--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -105,7 +105,7 @@
 func (g *Gateway) freeCopy(r *request, at registry.Instance, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
-	if _, err := g.ask(ctx, at, http.MethodDelete, g.o.Protocol.FreeCopyTarget(handle), nil); err != nil {
+	if _, err := g.ask(ctx, at, controlCall{method: http.MethodDelete, target: g.o.Protocol.FreeCopyTarget(handle), attemptID: r.ID}); err != nil {
 		g.o.Logger.Info("copy not freed; the engine will drop it by itself", "id", r.ID, "upstream", at.ID, "cause", err)
 	}
 }
@@ -147,9 +147,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	target, request := s.g.o.Protocol.StopRequest(s.r.ID, to.Address)
+	stop := controlCall{method: http.MethodPost, attemptID: s.r.ID}
+	stop.target, stop.body = s.g.o.Protocol.StopRequest(s.r.ID, to.Address)
 	for {
-		resp, body, err := s.g.call(ctx, p.upstream, http.MethodPost, target, request)
+		resp, body, err := s.g.call(ctx, p.upstream, stop)
 		if err == nil && resp.Status == http.StatusConflict && pause.For(ctx, stopRetryPause) {
 			continue
 		}
@@ -219,8 +220,9 @@
 func (g *Gateway) copyRun(ctx context.Context, r *request, from, to registry.Instance) copyResult {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	target, body := g.o.Protocol.CopyRequest(r.ID, to.Address)
-	answer, err := g.ask(ctx, from, http.MethodPost, target, body)
+	copyCall := controlCall{method: http.MethodPost, attemptID: r.ID}
+	copyCall.target, copyCall.body = g.o.Protocol.CopyRequest(r.ID, to.Address)
+	answer, err := g.ask(ctx, from, copyCall)
 	if err != nil {
 		return copyResult{to: to, err: err}
 	}
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -358,7 +358,7 @@
 }
 
 func (g *Gateway) queryCachedTokens(ctx context.Context, in registry.Instance, prompt string) int {
-	body, err := g.ask(ctx, in, http.MethodGet, g.o.Protocol.CacheTarget(), nil)
+	body, err := g.ask(ctx, in, controlCall{method: http.MethodGet, target: g.o.Protocol.CacheTarget()})
 	if err != nil {
 		g.o.Logger.Info("list of cached prompts not fetched", "upstream", in.ID, "cause", err)
 		return 0
@@ -370,15 +370,23 @@
 	return tokens
 }
 
-// ask makes a control call, which does not occupy a slot of the engine, and
-// returns the body of the response.
-func (g *Gateway) ask(ctx context.Context, in registry.Instance, method, target string, request []byte) ([]byte, error) {
-	body, _, err := g.askWithHeader(ctx, in, method, target, request)
+// controlCall is a call to an engine that does not occupy a slot.
+type controlCall struct {
+	method, target string
+	body           []byte
+	// attemptID identifies the client's attempt whose run the call is about; empty if there is
+	// none.
+	attemptID string
+}
+
+// ask makes a control call and returns the body of the response.
+func (g *Gateway) ask(ctx context.Context, in registry.Instance, c controlCall) ([]byte, error) {
+	body, _, err := g.askWithHeader(ctx, in, c)
 	return body, err
 }
 
-func (g *Gateway) askWithHeader(ctx context.Context, in registry.Instance, method, target string, request []byte) ([]byte, http.Header, error) {
-	resp, body, err := g.call(ctx, in, method, target, request)
+func (g *Gateway) askWithHeader(ctx context.Context, in registry.Instance, c controlCall) ([]byte, http.Header, error) {
+	resp, body, err := g.call(ctx, in, c)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -389,13 +397,18 @@
 }
 
 // call makes a control call and returns the response, whatever its status, and its body.
-func (g *Gateway) call(ctx context.Context, in registry.Instance, method, target string, request []byte) (*upstream.Response, []byte, error) {
+func (g *Gateway) call(ctx context.Context, in registry.Instance, c controlCall) (*upstream.Response, []byte, error) {
 	header := http.Header{}
-	if request != nil {
+	if c.body != nil {
 		header.Set("Content-Type", "application/json")
 	}
 	resp, err := g.o.Pool.Do(ctx, upstream.Request{
-		Address: in.Address, Method: method, Target: target, Host: in.Address, Header: header, Body: request,
+		Address: in.Address, Method: c.method, Target: c.target, Host: in.Address, Header: header, Body: c.body,
+		// A response to a call about another run may arrive late on the connection.
+		Matches: func(h http.Header) bool {
+			id := g.o.Protocol.DecodeResponseHead(0, h).ID
+			return id == "" || id == c.attemptID
+		},
 	})
 	if err != nil {
 		return nil, nil, err
@@ -413,7 +426,7 @@
 
 // queryReport asks an engine for its state and records its load in the tracker.
 func (g *Gateway) queryReport(ctx context.Context, in registry.Instance, id string) (EngineReport, bool) {
-	body, header, err := g.askWithHeader(ctx, in, http.MethodGet, g.o.Protocol.ReportTarget(), nil)
+	body, header, err := g.askWithHeader(ctx, in, controlCall{method: http.MethodGet, target: g.o.Protocol.ReportTarget()})
 	if err != nil {
 		return EngineReport{Verdict: failover.VerdictUnreachable}, false
 	}
