--- a/directory/state.go
+++ b/directory/state.go
@@ -57,10 +57,13 @@
 // decided.
 const DutyPrefix = "gooseberryroad/duties/"
 
-// maxRecentChanges is the number of changes kept for daemons that follow this
-// one; up to twice as many are kept before the oldest are dropped. A daemon that
-// is further behind gets a snapshot.
-const maxRecentChanges = 512
+// maxRecentChanges and maxRecentBytes bound the changes kept for daemons that follow
+// this one, by number and by the bytes of their keys and values; up to twice as many are
+// kept before the oldest are dropped. A daemon that is further behind gets a snapshot.
+const (
+	maxRecentChanges = 512
+	maxRecentBytes   = 2 << 20
+)
 
 // peerEntry is the value that a daemon registers.
 type peerEntry struct {
@@ -160,6 +163,8 @@
 	// recent holds the changes after the revision recentFrom, oldest first.
 	recent     []store.Change
 	recentFrom uint64
+	// recentBytes is the size of the keys and values in recent.
+	recentBytes int
 	// peers holds the registered daemons by key.
 	peers        map[string]sources.Peer
 	peersChanged bool
@@ -212,7 +217,7 @@
 		}
 	}
 	s.revision = revision
-	s.recent, s.recentFrom = nil, revision
+	s.recent, s.recentFrom, s.recentBytes = nil, revision, 0
 	s.loaded, s.compacted = true, false
 	s.dirty = true
 }
@@ -409,13 +414,22 @@
 
 // keepChange keeps a change for the followers. Old changes are dropped in bulk.
 func (s *state) keepChange(c store.Change) {
-	if len(s.recent) >= 2*maxRecentChanges {
-		s.recentFrom = s.recent[maxRecentChanges-1].Index
-		s.recent = append([]store.Change(nil), s.recent[maxRecentChanges:]...)
-	}
 	s.recent = append(s.recent, c)
+	s.recentBytes += changeBytes(c)
+	if len(s.recent) <= 2*maxRecentChanges && s.recentBytes <= 2*maxRecentBytes {
+		return
+	}
+	dropped := 0
+	for len(s.recent)-dropped > maxRecentChanges || s.recentBytes > maxRecentBytes {
+		s.recentBytes -= changeBytes(s.recent[dropped])
+		dropped++
+	}
+	s.recentFrom = s.recent[dropped-1].Index
+	s.recent = slices.Clone(s.recent[dropped:])
 }
 
+func changeBytes(c store.Change) int { return len(c.Key) + len(c.Value) }
+
 func (s *state) put(e store.Entry, now time.Time) {
 	switch {
 	case s.putConfig(e):
--- /dev/null
+++ b/directory/state_test.go
@@ -0,0 +1,88 @@
+package directory
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gooseberryroad/gooseberryroad/cutover"
+	"github.com/gooseberryroad/gooseberryroad/registry"
+	"github.com/gooseberryroad/gooseberryroad/routes"
+	"github.com/gooseberryroad/gooseberryroad/store"
+)
+
+// configDecoder decodes configurations at the key "config".
+type configDecoder struct{}
+
+func (configDecoder) Config(e store.Entry) (c routes.Config, ok bool, err error) {
+	if e.Key != "config" {
+		return c, false, nil
+	}
+	return c, true, json.Unmarshal(e.Value, &c)
+}
+
+func (configDecoder) Instance(store.Entry) (in registry.Instance, ok bool, err error) {
+	return in, false, nil
+}
+
+func (configDecoder) Order(store.Entry) (o cutover.Order, ok bool, err error) { return o, false, nil }
+
+func (configDecoder) Status(store.Entry) (service string, s cutover.Status, ok bool, err error) {
+	return "", s, false, nil
+}
+
+// Guards against a daemon that runs out of memory: quick changes of a configuration of 464 KB
+// were kept for its followers by their number only, up to 1,024 of them.
+func TestChangesForFollowersAreBoundedInBytes(t *testing.T) {
+	o := NewWithT(t)
+	s := newState(configDecoder{}, slog.New(slog.DiscardHandler))
+	padding := strings.Repeat(" ", 464<<10)
+	held := func() (n int) {
+		for _, c := range s.recent {
+			n += len(c.Key) + len(c.Value)
+		}
+		return n
+	}
+	content := func() *Content {
+		c := &Content{recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision}
+		for _, e := range s.entries {
+			c.entries = append(c.entries, e)
+		}
+		return c
+	}
+	now := time.Now()
+	s.applySnapshot(nil, 1, now)
+	for revision := uint64(2); revision < 300; revision++ {
+		e := store.Entry{Key: "config", Value: []byte(`{"Version": 1}` + padding), Index: revision}
+		s.applyChanges([]store.Change{{Entry: e}}, revision, now)
+		o.Expect(held()).To(BeNumerically("<=", 2*maxRecentBytes))
+		o.Expect(s.recentBytes).To(Equal(held()))
+
+		last := content().Since(revision - 1)
+		o.Expect(last.Snapshot).To(BeFalse())
+		o.Expect(last.Changes).To(HaveLen(1))
+	}
+	behind := content().Since(100)
+	o.Expect(behind.Snapshot).To(BeTrue())
+	o.Expect(behind.Entries).To(HaveLen(1))
+	o.Expect(behind.Entries[0].Index).To(BeEquivalentTo(299))
+}
+
+// Guards against changes that are lost between two followers: those after the revision up to
+// which changes were dropped are all there.
+func TestDroppedChangesEndAtTheStatedRevision(t *testing.T) {
+	o := NewWithT(t)
+	s := newState(configDecoder{}, slog.New(slog.DiscardHandler))
+	s.applySnapshot(nil, 1, time.Now())
+	for revision := uint64(2); revision < 4000; revision++ {
+		e := store.Entry{Key: "other", Index: revision}
+		s.applyChanges([]store.Change{{Entry: e}}, revision, time.Now())
+		o.Expect(len(s.recent)).To(BeNumerically("<=", 2*maxRecentChanges))
+		o.Expect(s.recent).To(HaveLen(int(revision - s.recentFrom)))
+		o.Expect(s.recent[0].Index).To(Equal(s.recentFrom + 1))
+	}
+}
