--- a/directory/follower.go
+++ b/directory/follower.go
@@ -423,7 +423,7 @@
 func (f *Follower) handleStoreOutcome(s *state, c *sources.Chooser, o outcome, now time.Time) {
 	switch {
 	case errors.Is(o.err, store.ErrCompacted):
-		f.options.Logger.Info("store compacted its history; reading a snapshot", "revision", store.Shown(s.revision))
+		f.options.Logger.Info("store compacted its history; reading a snapshot", "revision", store.Shown(s.revision), "cause", o.err)
 		c.StoreAnswered()
 		s.compacted = true
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -211,10 +211,13 @@
 	if res.StatusCode != http.StatusOK {
 		return directory.Update{}, eris.Errorf("daemon answered %d", res.StatusCode)
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxContentBytes))
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxContentBytes+1))
 	if err != nil {
 		return directory.Update{}, eris.Wrap(err, "read the daemon's answer")
 	}
+	if len(b) > maxContentBytes {
+		return directory.Update{}, eris.Errorf("the daemon's answer is longer than %d bytes", maxContentBytes)
+	}
 	var wire wireUpdate
 	if err := json.Unmarshal(b, &wire); err != nil {
 		return directory.Update{}, eris.Wrap(err, "decode the daemon's answer")
--- a/store/watch.go
+++ b/store/watch.go
@@ -7,9 +7,9 @@
 )
 
 // ErrCompacted reports that a watch cannot continue, because the service has
-// deleted the history after its revision. The watcher must read the whole range
-// again.
-var ErrCompacted = errors.New("the history that the watch needs was deleted")
+// deleted the history after its revision or the history is too long for one response.
+// The watcher must read the whole range again.
+var ErrCompacted = errors.New("the history that the watch needs is not available")
 
 // ErrLeaseExpired reports that a lease does not exist any more.
 var ErrLeaseExpired = errors.New("lease has expired")
