soak: daemons report usage, and one of them holds the duty

The soak's daemons have a control service: a stand-in that takes usage reports, behind a proxy for each daemon. New faults, in a random sequence of their own, cut, delay or reset the ways to it, or make it answer 429 or 503 or lose its answers. Judged are tokens, windows with two contents, holders that take turns within a lease, and that reports go on after the last fault. Only calls of daemons that were paused, or whose way was disturbed, until 0.3 s before are left out of the order of holders.

--- a/soak/act.go
+++ b/soak/act.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,8 +46,8 @@
 	switch f.Component {
 	case Upstreams:
 		s.injectUpstreamFault(ctx, f)
-	case StoreLinks, ClientLinks, PeerLinks:
-		links := map[ComponentType][]*link{StoreLinks: s.storeLinks, ClientLinks: s.clientLinks, PeerLinks: s.peerLinks}
+	case StoreLinks, ClientLinks, PeerLinks, ControlLinks:
+		links := map[ComponentType][]*link{StoreLinks: s.storeLinks, ClientLinks: s.clientLinks, PeerLinks: s.peerLinks, ControlLinks: s.controlLinks}
 		end := links[f.Component][f.Target].fault(f.Kind)
 		waitLength()
 		end()
@@ -82,6 +83,11 @@
 		waitLength()
 		toggle.Store(false)
 		recordFault(StoreServer, 0)
+	case ControlServer:
+		toggle := map[FaultKind]*atomic.Bool{TurnAway: &s.control.TurnAway, RefuseCalls: &s.control.Refuse, LoseResponse: &s.control.LoseResponses}[f.Kind]
+		toggle.Store(true)
+		waitLength()
+		toggle.Store(false)
 	case WholeSystem:
 		switch f.Kind {
 		case RotateKey:
@@ -234,6 +240,9 @@
 			case f.Kind == Kill, f.Kind == Pause:
 				s.observed.faults.add(Daemons, i, interval{began, time.Now()})
 			}
+			if f.Kind == Pause {
+				s.observed.pauses[i] = append(s.observed.pauses[i], interval{began, time.Now()})
+			}
 		})
 	}
 	running.Wait()
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -164,6 +164,8 @@
 	// which a daemon's did not.
 	stalls       []interval
 	daemonStalls map[int][]interval
+	// pauses are the times in which daemons were paused.
+	pauses map[int][]interval
 	// bursts are the bursts of long bodies that daemons got. A daemon may refuse
 	// requests in one.
 	bursts faultIntervals
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -12,7 +12,7 @@
 
 // The kinds of fault. Faults of a link act on a proxy: the one between the daemons
 // and an upstream, the one through which clients or other daemons reach a daemon, or
-// the one between a daemon and the store.
+// the one between a daemon and the store or the control service.
 const (
 	Crash               FaultKind = "crash"      // an upstream crashes and starts again under a new ID
 	Drain               FaultKind = "leave"      // an upstream registers as draining and stops later
@@ -39,6 +39,7 @@
 	MoveAfterRevert     FaultKind = "move-again" // a version that fails is reverted and stays registered during the next move
 	BurstBodies         FaultKind = "bodies"     // a daemon gets long bodies without a length, more than its memory holds
 	ExpireRegistrations FaultKind = "lapse"      // the store refuses calls, and the upstreams' registrations expire
+	TurnAway            FaultKind = "turn-away"  // the control service answers every call with 429
 	RestoreCopy         FaultKind = "restore"    // the store returns to an older copy, and what was lost is written again later
 	SendPoisonRequest   FaultKind = "crash-each" // a poison request, which crashes each upstream that runs it, is sent repeatedly
 )
@@ -54,7 +55,10 @@
 	PeerLinks   ComponentType = "peer-link"
 	Daemons     ComponentType = "daemon"
 	StoreServer ComponentType = "store"
-	WholeSystem ComponentType = "all"
+	// ControlServer is the control service, ControlLinks are the daemons' ways to it.
+	ControlServer ComponentType = "control"
+	ControlLinks  ComponentType = "control-link"
+	WholeSystem   ComponentType = "all"
 )
 
 // faultType is a kind of fault of a type of component.
@@ -88,6 +92,10 @@
 	{{Upstreams, Announce}, {Upstreams, Announce}, {Upstreams, AskPause}, {Upstreams, AskPause}},
 	{{Upstreams, NameLimit}, {Upstreams, NameLimit}},
 	{{StoreServer, RestoreCopy}},
+	{
+		{ControlServer, TurnAway}, {ControlServer, RefuseCalls}, {ControlServer, LoseResponse},
+		{ControlLinks, Reset}, {ControlLinks, Delay}, {ControlLinks, DropToServer}, {ControlLinks, DropFromServer}, {ControlLinks, DropBoth},
+	},
 }
 
 // Fault is one fault of a plan.
@@ -141,7 +149,7 @@
 	randomDuration := func(low, high time.Duration) time.Duration {
 		return low + time.Duration(random.Int64N(int64(max(high-low, 1))))
 	}
-	count := map[ComponentType]int{Upstreams: o.engines() + o.PlainReplicas, StoreLinks: o.Daemons, ClientLinks: o.Daemons, PeerLinks: o.Daemons, Daemons: o.Daemons, StoreServer: 1, WholeSystem: 1}
+	count := map[ComponentType]int{Upstreams: o.engines() + o.PlainReplicas, StoreLinks: o.Daemons, ClientLinks: o.Daemons, PeerLinks: o.Daemons, Daemons: o.Daemons, StoreServer: 1, ControlServer: 1, ControlLinks: o.Daemons, WholeSystem: 1}
 	var plan []Fault
 	for range int(rate * o.Length.Seconds()) {
 		t := types[random.IntN(len(types))]
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -91,8 +91,9 @@
 	// acted. Of the latter, Crossed got no answer because the daemon closed the connection
 	// within lossSlack.
 	Direct, DirectJudged, Crossed int
-	// Moves is the number of moves between versions that were ordered.
-	Moves int
+	// Moves is the number of moves between versions that were ordered, DutyCalls that of
+	// the calls that the control service took.
+	Moves, DutyCalls int
 	// PeakMB is the largest resident memory of any daemon in MiB, sampled at each
 	// signal to a daemon and during bursts of long bodies.
 	PeakMB int
@@ -106,9 +107,9 @@
 }
 
 func (r Outcome) String() string {
-	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d direct (%d judged, %d crossed), %d MB, %d stalls (%.1f s), %d broken",
+	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d direct (%d judged, %d crossed), %d duty calls, %d MB, %d stalls (%.1f s), %d broken",
 		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete,
-		r.Direct, r.DirectJudged, r.Crossed, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
+		r.Direct, r.DirectJudged, r.Crossed, r.DutyCalls, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
 	for _, v := range r.Violations {
 		s += "\n  " + v
 	}
@@ -135,10 +136,11 @@
 	options Options
 	seed    uint64
 	store   *platformtest.Store
-	// storeLinks, clientLinks and peerLinks hold the proxies of each daemon, by the
-	// daemon's number.
-	storeLinks, clientLinks, peerLinks []*link
-	upstreams                          []*upstream
+	control *platformtest.Control
+	// storeLinks, clientLinks, peerLinks and controlLinks hold the proxies of each daemon,
+	// by the daemon's number.
+	storeLinks, clientLinks, peerLinks, controlLinks []*link
+	upstreams                                        []*upstream
 	// moveTargets are the upstreams of the version to which plain requests are moved.
 	// No other fault acts on them, and direct clients' requests take no longer than others
 	// there: a version that is slow is reverted. laterTargets are those of a version to which the
@@ -178,8 +180,8 @@
 	if err != nil {
 		return Outcome{}, eris.Wrap(err, "create the directory for logs")
 	}
-	s := &Soak{options: o, seed: seed, logDir: dir, store: platformtest.NewStore(), daemonMu: make([]sync.Mutex, o.Daemons)}
-	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, daemonStalls: map[int][]interval{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
+	s := &Soak{options: o, seed: seed, logDir: dir, store: platformtest.NewStore(), control: platformtest.NewControl(), daemonMu: make([]sync.Mutex, o.Daemons)}
+	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, daemonStalls: map[int][]interval{}, pauses: map[int][]interval{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
 	defer s.close()
 	if err := s.build(p); err != nil {
 		return Outcome{}, err
@@ -230,10 +232,16 @@
 			return err
 		}
 		s.storeLinks = append(s.storeLinks, store)
+		control, err := newLink(s.control.Address)
+		if err != nil {
+			return err
+		}
+		s.controlLinks = append(s.controlLinks, control)
 		d, err := newDaemon(s.options.Binary, s.logDir, platformtest.Daemon{
-			Name: fmt.Sprintf("d%d", i), DataCentre: dataCentres[i%len(dataCentres)],
+			Name: daemonName(i), DataCentre: dataCentres[i%len(dataCentres)],
 			ClientAddress: addresses[0], ReadinessAddress: addresses[1], PeerAddress: addresses[2], StoreAddress: store.address(),
 			StopGrace: stopGrace, MemoryMB: maxDaemonMB, RetrySlack: 100,
+			ControlAddress: control.address(), Lease: dutyLease, ReportWindow: usageWindow,
 		})
 		if err != nil {
 			return err
@@ -366,6 +374,7 @@
 	faultsDone.Wait()
 	recoveryBegan := time.Now()
 	unrecovered := s.checkRecovery(ctx)
+	unreported := s.checkReportsGoOn(ctx, recoveryBegan)
 	recovery := interval{recoveryBegan, time.Now()}
 	stop()
 	callersDone.Wait()
@@ -380,13 +389,13 @@
 	if err := errors.Join(ctx.Err(), s.faultErr); err != nil {
 		return Outcome{}, eris.Wrap(err, "soak")
 	}
-	return s.report(callers, unrecovered, recovery)
+	return s.report(callers, unrecovered, unreported, recovery)
 }
 
 // report checks the observations and returns the outcome. unrecovered says of each daemon
-// what it did not serve in the time of recovery; "" for nothing. The daemons must have
-// ended.
-func (s *Soak) report(callers []*caller, unrecovered []string, recovery interval) (Outcome, error) {
+// what it did not serve in the time of recovery, unreported that no usage was reported in
+// it; "" for nothing. The daemons must have ended.
+func (s *Soak) report(callers []*caller, unrecovered []string, unreported string, recovery interval) (Outcome, error) {
 	r := Outcome{Seed: s.seed, Faults: s.faultsInjected, Moves: len(s.observed.moves)}
 	for _, c := range callers {
 		s.observed.attempts = append(s.observed.attempts, c.attempts...)
@@ -414,6 +423,12 @@
 		r.StallTime += iv.to.Sub(iv.from)
 	}
 	r.Violations = append(r.Violations, s.observed.check()...)
+	calls := s.control.Calls()
+	r.DutyCalls = len(calls)
+	r.Violations = append(r.Violations, s.observed.checkDuties(calls)...)
+	if unreported != "" && !s.observed.anyStalled(recovery) {
+		r.Violations = append(r.Violations, unreported)
+	}
 	direct := s.observed.checkDirect()
 	r.Violations = append(r.Violations, direct.violations...)
 	r.Direct, r.DirectJudged, r.Crossed = direct.sent, direct.judged, direct.crossed
@@ -534,8 +549,9 @@
 		u.Crash()
 		u.link.close()
 	}
-	for _, l := range slices.Concat(s.storeLinks, s.clientLinks, s.peerLinks) {
+	for _, l := range slices.Concat(s.storeLinks, s.clientLinks, s.peerLinks, s.controlLinks) {
 		l.close()
 	}
 	s.store.Stop()
+	s.control.Stop()
 }
--- a/soak/stall.go
+++ b/soak/stall.go
@@ -81,7 +81,7 @@
 	for _, iv := range obs.stalls {
 		obs.faults.add(StoreServer, 0, iv)
 		for i := range obs.daemons {
-			for _, c := range []ComponentType{Daemons, StoreLinks, ClientLinks, PeerLinks} {
+			for _, c := range []ComponentType{Daemons, StoreLinks, ClientLinks, PeerLinks, ControlLinks} {
 				obs.faults.add(c, i, iv)
 			}
 		}
@@ -101,3 +101,13 @@
 	}
 	return false
 }
+
+// anyStalled reports whether the soak or any daemon did not run for some of the time.
+func (obs *observations) anyStalled(during interval) bool {
+	for i := range obs.daemons {
+		if obs.stalled(i, during) {
+			return true
+		}
+	}
+	return false
+}
