revision, operator: changes take effect after the store returns to an older copy

Cause: the revision of a document was its store index. A store that was restored from an older copy gives indexes out again, so a change was accepted (200) and ignored by all daemons until the index had passed the one in force. The revision is now at least one above the one that the change replaced; the operator API lets a change replace what is in force, not what the copy holds, and writes on the condition of the copy's index. Documents and deletions in force never went back, and do not now. In normal service each index is above the replaced revision, so nothing changes there.

standin: the store can return to a copy.

--- a/node/publish.go
+++ b/node/publish.go
@@ -15,7 +15,7 @@
 	s.Draining, s.StoreReachable, s.Configured, s.Applied = n.draining, !n.storeDown, n.configured, n.applied
 	s.Quarantine = n.snapshotVerdicts(now)
 	if len(n.dirty) > 0 {
-		s.Services = maps.Clone(s.Services)
+		s.Services, s.Deleted = maps.Clone(s.Services), map[string]Deletion{}
 		for name := range n.dirty {
 			r := n.revs.InForce(name)
 			if r == nil || r.Doc == nil {
@@ -24,6 +24,11 @@
 			}
 			s.Services[name] = n.view(now, r)
 		}
+		for _, name := range n.revs.Names() {
+			if r := n.revs.InForce(name); r != nil && r.Deleted() {
+				s.Deleted[name] = Deletion{Revision: r.Revision, Author: author(r)}
+			}
+		}
 	}
 	s.Rejected = map[string]Rejection{}
 	for _, name := range n.revs.Names() {
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -40,6 +40,8 @@
 	Applied uint64
 	// Rejected are documents that did not take effect, by service.
 	Rejected map[string]Rejection
+	// Deleted are the services that were deleted, by name.
+	Deleted map[string]Deletion
 	// Quarantine holds the requests that are suspects or quarantined; nil when
 	// there are none.
 	Quarantine map[quarantine.Hash]quarantine.Verdict
@@ -66,6 +68,12 @@
 	Problems document.Problems
 }
 
+// Deletion is a document that deletes its service.
+type Deletion struct {
+	Revision uint64
+	Author   Author
+}
+
 // Author is who wrote a document.
 type Author struct {
 	Team     string
@@ -76,7 +84,7 @@
 // ServiceView is one service as the daemon applies it.
 type ServiceView struct {
 	Doc *document.Service
-	// Revision is the store index of the document.
+	// Revision is that of the document (see revision.Record).
 	Revision uint64
 	// Text is the document as its author wrote it.
 	Text   string
--- a/node/watch.go
+++ b/node/watch.go
@@ -127,8 +127,9 @@
 			}
 		}
 		if ev.Prefix == revision.Prefix {
-			if !n.configured || ev.Index > n.applied {
-				n.configured, n.applied, n.changed = true, max(n.applied, ev.Index), true
+			applied := max(ev.Index, n.revs.HighestOf(ev.Entries))
+			if !n.configured || applied > n.applied {
+				n.configured, n.applied, n.changed = true, max(n.applied, applied), true
 			}
 		}
 	}
--- a/operator/change.go
+++ b/operator/change.go
@@ -114,6 +114,11 @@
 		fail(c, http.StatusConflict, "no_document", notRun, "the store holds no document of service "+name)
 		return
 	}
+	current := revision.Of(cur)
+	if v := s.opts.Control.Snapshot().Services[name]; v != nil && v.Revision > current {
+		// The store was restored from an older copy.
+		current, env.Document = v.Revision, v.Text
+	}
 	text, err := withoutMove(env.Document)
 	if err != nil {
 		fail(c, http.StatusConflict, "no_move", notRun, err.Error())
@@ -123,7 +128,7 @@
 		return
 	}
 	if base == 0 {
-		base = cur.Index
+		base = current
 	}
 	s.change(c, name, base, revision.Envelope{Team: team, Document: string(text)})
 }
@@ -222,9 +227,10 @@
 		// The event only makes the change known sooner. If the queue is full, the
 		// watch of the store delivers the document.
 		s.opts.Control.Post(node.StoreWrote{Key: w.key, Value: r.value, Index: r.index})
-		s.log.Info("document changed", "service", name, "revision", r.index, "team", env.Team, "operator", env.Operator)
-		c.Header("ETag", fmt.Sprintf(`"%d"`, r.index))
-		c.JSON(http.StatusOK, changeBody{Service: name, Revision: r.index})
+		written := revision.Of(store.Entry{Key: w.key, Value: r.value, Index: r.index})
+		s.log.Info("document changed", "service", name, "revision", written, "index", r.index, "team", env.Team, "operator", env.Operator)
+		c.Header("ETag", fmt.Sprintf(`"%d"`, written))
+		c.JSON(http.StatusOK, changeBody{Service: name, Revision: written})
 	}
 }
 
@@ -302,14 +308,20 @@
 		// read can settle it.
 		return writeResult{err: err, outcome: w.outcome()}, w.mayHaveApplied
 	}
-	if err == nil {
-		if r, settled := w.checkStored(cur); settled {
+	inForce := w.inForce()
+	// A store that was restored from an older copy holds less than is in force.
+	restored := inForce.Revision > revision.Of(cur)
+	switch {
+	case restored && w.base != inForce.Revision && (w.base != 0 || !inForce.Deleted):
+		return writeResult{conflict: true, outcome: w.outcome(), winner: &inForce}, false
+	case err == nil:
+		if r, settled := w.checkStored(cur, restored); settled {
 			return r, false
 		}
-	} else if w.base != 0 {
+	case w.base != 0 && !restored:
 		return writeResult{conflict: true, outcome: w.outcome()}, false
 	}
-	w.env.Base = cur.Index
+	w.env.Base = max(revision.Of(cur), inForce.Revision)
 	value := w.env.Encode()
 	index, err := w.server.opts.Store.CompareAndSwap(ctx, w.key, value, cur.Index)
 	switch {
@@ -326,19 +338,30 @@
 	}
 }
 
+// inForce describes the document, or the deletion, that is in force at this daemon.
+func (w *documentWrite) inForce() Winner {
+	name, snapshot := strings.TrimPrefix(w.key, revision.Prefix), w.server.opts.Control.Snapshot()
+	if v := snapshot.Services[name]; v != nil {
+		return Winner{Revision: v.Revision, Team: v.Author.Team, Operator: v.Author.Operator, At: v.Author.At}
+	}
+	d := snapshot.Deleted[name]
+	return Winner{Revision: d.Revision, Team: d.Author.Team, Operator: d.Author.Operator, At: d.Author.At, Deleted: d.Revision != 0}
+}
+
 // checkStored compares the stored entry with what the change expects. It returns
 // true when the outcome is settled: the write has taken effect, conflicts with
-// another one or is refused.
-func (w *documentWrite) checkStored(cur store.Entry) (writeResult, bool) {
+// another one or is refused. restored says that the change replaces what is in force, which
+// the store does not have.
+func (w *documentWrite) checkStored(cur store.Entry, restored bool) (writeResult, bool) {
 	env, err := revision.Decode(cur.Value)
 	if err == nil && env.WriteID == w.env.WriteID {
 		return writeResult{index: cur.Index, value: cur.Value}, true
 	}
 	// A new service may replace a deleted one.
 	replacesDeleted := err == nil && env.Deleted && w.base == 0
-	if cur.Index != w.base && !replacesDeleted {
+	if current := revision.Of(cur); current != w.base && !replacesDeleted && !restored {
 		r := writeResult{conflict: true, outcome: notRun, winner: &Winner{
-			Revision: cur.Index, Team: env.Team, Operator: env.Operator, At: env.At, Deleted: env.Deleted}}
+			Revision: current, Team: env.Team, Operator: env.Operator, At: env.At, Deleted: env.Deleted}}
 		if w.mayHaveApplied && env.Base != w.env.Base {
 			// The winner replaced another revision than this write was to replace.
 			// That revision may have been written by this change.
@@ -346,6 +369,7 @@
 		}
 		return r, true
 	}
+	replacesDeleted = replacesDeleted || restored && w.base == 0
 	if owner := w.owningTeam(env, err); !replacesDeleted && owner != "" && owner != w.env.Team {
 		return writeResult{refusal: fmt.Sprintf("the service belongs to team %s and the key to team %s", owner, w.env.Team)}, true
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -316,6 +316,76 @@
 		Expect(code).To(Equal(409))
 	})
 
+	// Each guards against a change that is accepted and is never in force, because the store was
+	// restored from an older copy and gives lower indexes out again.
+	Describe("after the store was restored from an older copy", func() {
+		const path = "/v1/services/tags"
+		inForce := uint64(0)
+		move := strings.Replace(documentText("tags", "registro", "v3"), "serving = v3",
+			"serving = v3\nnext = v4\ndeadline = 2026-12-04T18:00:00Z", 1) +
+			"[upstream.a]\naddress = 127.0.0.1:1\ndatacentre = dc1\nregion = r\nversion = v3\n" +
+			"[upstream.b]\naddress = 127.0.0.1:2\ndatacentre = dc1\nregion = r\nversion = v4\n"
+		restoreAfter := func(change func(revision uint64) uint64) {
+			_, a, _ := f.call("PUT", path, "registro", "0", documentText("tags", "registro", "v1"))
+			older, index := f.store.entries["config/tags"], f.store.index
+			inForce = change(a.Revision)
+			f.store.entries["config/tags"], f.store.index = older, index
+		}
+		put := func(body string) func(uint64) uint64 {
+			return func(base uint64) uint64 {
+				code, a, _ := f.call("PUT", path, "registro", fmt.Sprint(base), body)
+				Expect(code).To(Equal(200))
+				return a.Revision
+			}
+		}
+
+		It("replaces what is in force, and not what the store has", func() {
+			restoreAfter(func(base uint64) uint64 {
+				for _, version := range []string{"v2", "v3"} {
+					base = put(documentText("tags", "registro", version))(base)
+				}
+				return base
+			})
+			code, a, _ := f.call("PUT", path, "registro", fmt.Sprint(f.store.index), documentText("tags", "registro", "v4"))
+			Expect(code).To(Equal(409))
+			Expect(a.Error.Outcome).To(Equal("not_run"))
+			Expect(a.Error.Winner.Revision).To(Equal(inForce))
+			for _, version := range []string{"v4", "v5"} {
+				inForce = put(documentText("tags", "registro", version))(inForce)
+				Expect(f.Snapshot().Services["tags"].Doc.Versions.Serving).To(Equal(version))
+				Expect(f.Snapshot().Services["tags"].Revision).To(Equal(inForce))
+			}
+		})
+
+		It("creates a service that the store lost", func() {
+			restoreAfter(put(documentText("tags", "registro", "v2")))
+			delete(f.store.entries, "config/tags")
+			code, _, _ := f.call("PUT", path, "registro", "0", documentText("tags", "registro", "v3"))
+			Expect(code).To(Equal(409))
+			put(documentText("tags", "registro", "v3"))(inForce)
+			Expect(f.Snapshot().Services["tags"].Doc.Versions.Serving).To(Equal("v3"))
+		})
+
+		It("creates a service again whose deletion the store lost", func() {
+			restoreAfter(func(base uint64) uint64 {
+				code, a, _ := f.call("DELETE", path, "registro", fmt.Sprint(base), "")
+				Expect(code).To(Equal(200))
+				return a.Revision
+			})
+			code, _, _ := f.call("PUT", path, "apiario", "0", documentText("tags", "apiario", "v3"))
+			Expect(code).To(Equal(200))
+			Expect(f.Snapshot().Services["tags"].Doc.Versions.Serving).To(Equal("v3"))
+		})
+
+		It("takes back a version move that the store lost", func() {
+			restoreAfter(put(move))
+			code, _, _ := f.call("POST", path+"/take-back", "registro", "", "")
+			Expect(code).To(Equal(200))
+			Expect(f.Snapshot().Services["tags"].Doc.Versions.Serving).To(Equal("v3"))
+			Expect(f.Snapshot().Services["tags"].Doc.Versions.Next).To(BeEmpty())
+		})
+	})
+
 	It("reports a stored document that takes no effect, in sentences and in JSON", func() {
 		f.call("PUT", "/v1/services/tags", "registro", "0", documentText("tags", "registro", "v1"))
 		f.Post(node.StoreListed{Prefix: "config/", Index: 7, Entries: []store.Entry{{Key: "config/tags", Index: 7, Value: []byte("junk")}}})
--- a/revision/envelope.go
+++ b/revision/envelope.go
@@ -16,7 +16,8 @@
 	// WriteID is unique to one write. By it, the writer can tell whether a write
 	// whose answer was lost has taken effect.
 	WriteID string `json:"write_id"`
-	// Base is the revision that the write replaced, 0 for a new service.
+	// Base is the revision that the write replaced, 0 for a new service. It is the one in
+	// force if the store was restored and holds an older one.
 	Base uint64 `json:"base"`
 	// At is when the writer made the change, by its own clock.
 	At time.Time `json:"at"`
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -1,8 +1,10 @@
 package revision
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+	"math"
 	"sort"
 	"strings"
 
@@ -12,7 +14,9 @@
 
 // Record is one revision of one service.
 type Record struct {
-	Service  string
+	Service string
+	// Revision is the store index of the entry, or the one after the revision that the entry
+	// replaced, if that is higher.
 	Revision uint64
 	// Raw is the stored value as read, which is sent to peers.
 	Raw      []byte
@@ -73,15 +77,15 @@
 	if st == nil {
 		st = &serviceState{}
 	}
-	if st.inForce != nil && e.Index <= st.inForce.Revision {
+	if st.inForce != nil && e.Index <= st.inForce.Revision && (bytes.Equal(e.Value, st.inForce.Raw) || Of(e) <= st.inForce.Revision) {
 		return Ignored, nil
 	}
-	if st.rejected != nil && e.Index == st.rejected.Revision {
+	if st.rejected != nil && e.Index <= st.rejected.Revision && bytes.Equal(e.Value, st.rejected.Raw) {
 		return Ignored, nil
 	}
 	r := parse(name, e)
 	if !r.Accepted() {
-		if st.rejected != nil && e.Index < st.rejected.Revision {
+		if st.rejected != nil && r.Revision <= st.rejected.Revision {
 			return Ignored, nil
 		}
 		st.rejected = r
@@ -97,6 +101,23 @@
 	return InForce, r
 }
 
+// Of returns the revision of a store entry. A store that was restored from an older copy
+// gives indexes out again; an entry that replaces a revision is above it nevertheless.
+func Of(e store.Entry) uint64 {
+	env, err := Decode(e.Value)
+	if err != nil {
+		return e.Index
+	}
+	return env.revision(e.Index)
+}
+
+func (e Envelope) revision(index uint64) uint64 {
+	if e.Base == math.MaxUint64 {
+		return index // no write has such a base
+	}
+	return max(index, e.Base+1)
+}
+
 func parse(name string, e store.Entry) *Record {
 	r := &Record{Service: name, Revision: e.Index, Raw: e.Value}
 	env, err := Decode(e.Value)
@@ -104,7 +125,7 @@
 		r.Problems = document.Problems{{File: e.Key, Section: "-", Key: "-", Message: err.Error()}}
 		return r
 	}
-	r.Envelope = env
+	r.Envelope, r.Revision = env, env.revision(e.Index)
 	if env.Deleted {
 		return r
 	}
@@ -134,6 +155,18 @@
 	return 0
 }
 
+// HighestOf returns the highest revision in force that is one of the entries; 0 when none
+// is.
+func (s *Set) HighestOf(entries []store.Entry) uint64 {
+	highest := uint64(0)
+	for _, e := range entries {
+		if r := s.InForce(strings.TrimPrefix(e.Key, Prefix)); r != nil && bytes.Equal(r.Raw, e.Value) {
+			highest = max(highest, r.Revision)
+		}
+	}
+	return highest
+}
+
 // RejectedOf returns the highest record above the one in force that has problems,
 // or nil.
 func (s *Set) RejectedOf(service string) *Record {
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -56,6 +56,28 @@
 		Expect(s.InForce("a").Doc.Versions.Serving).To(Equal("v2"))
 	})
 
+	// Guards against a change that was accepted and is never in force: a store that was
+	// restored from an older copy gives indexes out again.
+	It("puts a document in force that replaces the one in force, whatever its index", func() {
+		replacing := store.Entry{Key: revision.Prefix + "a", Index: 4,
+			Value: revision.Envelope{Team: "registro", WriteID: "w", Base: 9, Document: documentText("a", "v3")}.Encode()}
+		inForce, older := entry("a", 9, documentText("a", "v2")), entry("a", 3, documentText("a", "v1"))
+		for _, order := range [][]store.Entry{{inForce, older, replacing}, {replacing, inForce, older}, {older, replacing, inForce, replacing}} {
+			s := revision.NewSet()
+			for _, e := range order {
+				s.Offer(e)
+			}
+			Expect(s.InForce("a").Doc.Versions.Serving).To(Equal("v3"))
+			Expect(s.RevisionOf("a")).To(Equal(uint64(10)))
+			Expect(s.HighestOf([]store.Entry{older, replacing})).To(Equal(uint64(10)))
+			Expect(s.HighestOf([]store.Entry{older})).To(BeZero())
+			By("it has the same revision at a daemon that gets it from another one")
+			peer := revision.NewSet()
+			peer.Offer(store.Entry{Key: replacing.Key, Value: replacing.Value, Index: s.RevisionOf("a")})
+			Expect(peer.Hash()).To(Equal(s.Hash()))
+		}
+	})
+
 	// Guards against a bad document that takes effect, or that keeps the last good
 	// one or another service's document from taking effect.
 	DescribeTable("a document with problems takes no effect and blocks nothing",
--- a/standin/store.go
+++ b/standin/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -106,8 +107,10 @@
 	deleted       map[string]uint64 // index of deletion by key
 	waiters       map[*waiter]struct{}
 	stats         StoreStats
-	writeLimit    tokenBucket
-	readLimit     tokenBucket
+	// taken is the last copy that was taken through the control; nil for none.
+	taken      *Copy
+	writeLimit tokenBucket
+	readLimit  tokenBucket
 }
 
 // kvEntry is an entry in the JSON form of the published API.
@@ -253,6 +256,29 @@
 	s.notify([]string{key})
 }
 
+// Copy is the content of a store at one time.
+type Copy struct {
+	index   uint64
+	entries map[string]*kvEntry
+	deleted map[string]uint64
+}
+
+// Copy returns the present content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{index: s.index, entries: maps.Clone(s.entries), deleted: maps.Clone(s.deleted)}
+}
+
+// Restore makes the store return to a copy: what was written since is lost, and its indexes
+// are given out again. Open connections are reset.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	s.index, s.entries, s.deleted = c.index, maps.Clone(c.entries), maps.Clone(c.deleted)
+	s.mu.Unlock()
+	s.srv.resetAll()
+}
+
 // Value reads an entry directly, bypassing rate limits and faults. The index is
 // 0 if there is no entry.
 func (s *Store) Value(key string) ([]byte, uint64) {
@@ -753,6 +779,25 @@
 		ok(c)
 	})
 	r.POST("/hang", func(c *gin.Context) { s.HangOpenConnections(); ok(c) })
+	// The store can return to the last copy that was taken.
+	r.POST("/copy", func(c *gin.Context) {
+		taken := s.Copy()
+		s.mu.Lock()
+		s.taken = &taken
+		s.mu.Unlock()
+		ok(c)
+	})
+	r.POST("/restore", func(c *gin.Context) {
+		s.mu.Lock()
+		taken := s.taken
+		s.mu.Unlock()
+		if taken == nil {
+			c.JSON(http.StatusConflict, gin.H{"error": gin.H{"message": "no copy was taken"}})
+			return
+		}
+		s.Restore(*taken)
+		ok(c)
+	})
 	// Direct reads and writes, which bypass rate limits and faults.
 	r.GET("/keys", func(c *gin.Context) { c.JSON(http.StatusOK, s.Keys(c.Query("prefix"))) })
 	r.GET("/kv/*key", func(c *gin.Context) {
