--- a/cli/standin.go
+++ b/cli/standin.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/gooseberryroad/gooseberryroad/platform/platformtest"
 	"github.com/gooseberryroad/gooseberryroad/standin"
 )
 
@@ -106,6 +107,19 @@
 		}
 		return standin.StartService(ctx, serviceOptions)
 	}, serviceFaults)
+
+	var checksFence bool
+	var controlAddress, faultsAddress string
+	control := cmd.Command("control", "The control service of the users' platform, which takes usage reports and orders of replicas. Its statistics tell which rules the calls broke.")
+	controlFaults := commonFlags(control, &controlAddress, &faultsAddress)
+	control.Flag("checks-fence", "Reject calls with a lower token than the last one.").BoolVar(&checksFence)
+	add(control, "control", func(ctx context.Context, _ func(string), faults []byte) (standinProcess, error) {
+		var f platformtest.ControlFaults
+		if err := json.Unmarshal(faults, &f); err != nil {
+			return nil, err
+		}
+		return platformtest.StartControl(ctx, controlAddress, faultsAddress, checksFence, f)
+	}, controlFaults)
 	return runs
 }
 
--- a/cli/standin_test.go
+++ b/cli/standin_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gooseberryroad/gooseberryroad/cli"
+	"github.com/gooseberryroad/gooseberryroad/platform/platformtest"
 )
 
 var _ = Describe("standin", func() {
@@ -66,8 +67,38 @@
 		Entry("store", "store", "--writes-per-second=-1"),
 		Entry("vms", "vms", "--list", `[{"name":"e1","address":"127.0.0.1:9"}]`),
 		Entry("service", "service"),
+		Entry("control", "control"),
 	)
 
+	// Guards against a stand-in that accepts what the control service of a deployment would
+	// reject, or that does not tell which rule was broken.
+	It("takes calls of duties, checks their tokens and reports broken rules", func() {
+		r := start("control", "--checks-fence", "--faults", `{"turn_away":true}`)
+		report := func(holder string, token uint64, window, requests int64) int {
+			req, err := platformtest.NewUsageReport(r.address, holder, token, window, map[string]int64{"a": requests})
+			Expect(err).NotTo(HaveOccurred())
+			res, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			return res.StatusCode
+		}
+		Expect(report("d1", 2, 1, 1)).To(Equal(http.StatusTooManyRequests))
+		Expect(post(r.control+"/control/faults", "{}")).To(Equal(http.StatusOK))
+		Expect(report("d1", 2, 1, 1)).To(Equal(http.StatusOK))
+		Expect(report("d2", 1, 2, 1)).To(Equal(http.StatusConflict))
+		Expect(report("d2", 3, 1, 2)).To(Equal(http.StatusOK))
+		res, err := http.Get("http://" + r.control + "/control/stats")
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		var stats struct {
+			Calls      int
+			Violations []string
+		}
+		Expect(json.NewDecoder(res.Body).Decode(&stats)).To(Succeed())
+		Expect(stats.Calls).To(Equal(2))
+		Expect(stats.Violations).To(ConsistOf(ContainSubstring("window 1 was reported as")))
+	})
+
 	DescribeTable("exits with 1 when a fault ends it",
 		func(args ...string) {
 			r := start(args...)
