gateway: a copy call takes the engine of the run when it is decided

Cause: copier.check read the assignment in the goroutine of the call, after the stream may have gone on elsewhere: a data race, and a copy that was ordered at another engine. TestCopyIsMadeWhereTheRunWas fails on the parent.

--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -77,7 +77,9 @@
 		to = next
 	}
 	c.copyByCalls, c.callRunning, c.lastCallAt = true, true, now
-	go func() { out <- s.g.copyRun(ctx, s.r, p.upstream, to) }()
+	// The stream may go on elsewhere before the call begins.
+	from := p.upstream
+	go func() { out <- s.g.copyRun(ctx, s.r, from, to) }()
 }
 
 // recordResult records the result of a copy call in the assignment.
--- a/gateway/copier_test.go
+++ b/gateway/copier_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,6 +17,7 @@
 
 	"github.com/gooseberryroad/gooseberryroad/directory"
 	"github.com/gooseberryroad/gooseberryroad/registry"
+	"github.com/gooseberryroad/gooseberryroad/sources"
 	"github.com/gooseberryroad/gooseberryroad/upstream"
 )
 
@@ -99,3 +101,38 @@
 	o.Expect(err).NotTo(HaveOccurred())
 	o.Expect(string(report)).To(Equal("report"))
 }
+
+// Guards against a copy that is ordered at another engine than the one that ran the stream
+// when the order was decided: the stream goes on elsewhere before the call begins.
+func TestCopyIsMadeWhereTheRunWas(t *testing.T) {
+	o := NewWithT(t)
+	copyAt := registry.Instance{ID: "f", Service: "s", Address: "127.0.0.1:1"}
+	value, err := json.Marshal(copyAt)
+	o.Expect(err).NotTo(HaveOccurred())
+	log := slog.New(slog.DiscardHandler)
+	f := directory.NewFollower(directory.Options{
+		Store:   fixedStore{{Key: "config", Value: []byte(`{"Version": 1, "Services": [{"Name": "s"}]}`), Index: 1}, {Key: "up/f", Value: value, Index: 1}},
+		Decoder: jsonDecoder{}, Relay: noRelay{}, Logger: log, Self: sources.Peer{Name: "d", Address: "d", DataCentre: "a"},
+	})
+	g := New(Options{Name: "d", Directory: f, Protocol: copyProtocol{}, Rand: rand.New(rand.NewPCG(1, 2)), Pool: upstream.NewPool(upstream.DefaultOptions()), Logger: log})
+	f.SetOnView(g.OnView)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go f.Run(ctx)
+	o.Eventually(func() bool { return g.registered(copyAt) }, "5s").Should(BeTrue())
+	s := newSearchingStream(g, 0, 5)
+	s.r.ID = "a"
+	s.r.engine.Backups, s.r.route.Resumable = true, true
+	engine := startRepeatingEngine(t)
+	for range 20 {
+		results := make(chan copyResult, 1)
+		p := assignment{upstream: engine, copyTo: copyAt}
+		c := &copier{s: s, copyByCalls: true}
+		c.check(ctx, &p, results)
+		p = assignment{}
+		var got copyResult
+		o.Eventually(results, "5s").Should(Receive(&got))
+		o.Expect(got.err).NotTo(HaveOccurred())
+		o.Expect(got.handle).To(Equal("handle of a"))
+	}
+}
