usage: a new holder decides a window before its report is due

The holder took the duty again 1.4 s before the report was due, waited 2 s for the counts of daemons that were gone, and reported it 0.7 s too late. It now stops waiting half a second before a report is due, if it has counts of nine tenths of the daemons, which is what it needs after the wait, too.

TestNewHolderDecidesBeforeTheReportIsDue fails on the parent.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -159,7 +159,7 @@
 	if s.Duties.Usage {
 		steady, _ := d.clock.Now(o.TimeOfDay(), now)
 		d.counter = usage.NewCounter(s.Name, d.process, s.Duties.Window, steady)
-		d.collector = usage.NewCollector(s.Duties.Window)
+		d.collector = usage.NewCollector(s.Duties.Window, s.Duties.ReportDue)
 	}
 	if s.Duties.Scaling {
 		d.scaling = newScaling(sizinglog.New(o.Logger))
--- a/usage/collector.go
+++ b/usage/collector.go
@@ -16,6 +16,9 @@
 	// gatherTime is how long a new holder waits for the counts of the daemons, which learn
 	// of it through the directory.
 	gatherTime = 2 * time.Second
+	// dueMargin is how long before a report is due the holder stops waiting for the last
+	// counts: the decision has to be written and the report sent.
+	dueMargin = 500 * time.Millisecond
 	// minCoverage is the part of the registered daemons whose counts a holder needs for a
 	// window that ended before it took over.
 	minCoverage = 0.9
@@ -106,7 +109,10 @@
 // Collector has the counts of all daemons, and the windows that were decided by any holder.
 // All times are steady times of day.
 type Collector struct {
-	length    time.Duration
+	length time.Duration
+	// due is the time after the end of a window within which its report has to arrive; 0 is
+	// unknown.
+	due       time.Duration
 	processes map[string]process
 	newest    Window
 	decided   map[Window]*delivery
@@ -114,9 +120,10 @@
 	notBefore time.Time
 }
 
-// NewCollector returns a collector for windows of the given length.
-func NewCollector(length time.Duration) *Collector {
-	return &Collector{length: length, processes: map[string]process{}, decided: map[Window]*delivery{}}
+// NewCollector returns a collector for windows of the given length whose reports are due
+// some time after their end.
+func NewCollector(length, due time.Duration) *Collector {
+	return &Collector{length: length, due: due, processes: map[string]process{}, decided: map[Window]*delivery{}}
 }
 
 // Merge takes a message in place of the earlier ones of the same process. An earlier message
@@ -199,7 +206,7 @@
 func (c *Collector) Decide(now time.Time, t Tenure, daemons []string) (Proposal, bool) {
 	oldest := c.oldest(now, t)
 	last := min(WindowAt(now.Add(-decideDelay), c.length)-1, c.lastHeard(oldest, now, t, daemons))
-	if last < oldest || now.Before(t.Since.Add(gatherTime)) && c.coverage(oldest, daemons, true) < 1 {
+	if last < oldest || now.Before(t.Since.Add(gatherTime)) && c.coverage(oldest, daemons, true) < 1 && !c.mustDecide(oldest, last, daemons, now) {
 		return Proposal{}, false
 	}
 	c.forget(now)
@@ -226,6 +233,18 @@
 	return p, true
 }
 
+// mustDecide reports whether a window from oldest to last would be reported too late if the
+// holder went on waiting, and it has enough counts of it.
+func (c *Collector) mustDecide(oldest, last Window, daemons []string, now time.Time) bool {
+	for w := max(oldest, WindowAt(now.Add(-c.due), c.length)); w <= last; w++ {
+		left := w.End(c.length).Add(c.due).Sub(now)
+		if left > 0 && left <= dueMargin && c.coverage(w, daemons, true) >= minCoverage {
+			return true
+		}
+	}
+	return false
+}
+
 // lastHeard returns the newest window up to which the holder has heard from enough daemons.
 func (c *Collector) lastHeard(oldest Window, now time.Time, t Tenure, daemons []string) Window {
 	present := WindowAt(now, c.length)
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -11,7 +11,10 @@
 	"github.com/gooseberryroad/gooseberryroad/usage"
 )
 
-const length = 5 * time.Second
+const (
+	length = 5 * time.Second
+	due    = 10 * time.Second
+)
 
 // start is the beginning of window 1000.
 var start = time.Unix(5000, 0)
@@ -28,7 +31,7 @@
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{collector: usage.NewCollector(length)}
+	f := &fleet{collector: usage.NewCollector(length, due)}
 	for i := range n {
 		name := fmt.Sprint("d", i)
 		f.names = append(f.names, name)
@@ -141,7 +144,7 @@
 		{Daemon: "d", Process: "p", Windows: map[usage.Window]usage.Counts{1: {"": 1}}},
 		{Daemon: "d", Process: "p", Windows: map[usage.Window]usage.Counts{1: {"a": 1 << 40}}},
 	} {
-		if usage.NewCollector(length).Merge(m, at(0)) == nil {
+		if usage.NewCollector(length, due).Merge(m, at(0)) == nil {
 			t.Errorf("accepted %+v", m)
 		}
 	}
@@ -179,6 +182,32 @@
 	}
 }
 
+// Guards against a report that comes too late because a new holder waits for the counts of a
+// daemon that is gone, after an outage of the store in which nobody held the duty.
+func TestNewHolderDecidesBeforeTheReportIsDue(t *testing.T) {
+	f := newFleet(10)
+	f.collector.Seen(usage.Stored{Newest: 999})
+	for i := range f.counters {
+		f.counters[i].Began("a", at(1))
+	}
+	tenure := usage.Tenure{Since: at(14)}
+	f.send(t, at(14.1), 0, 1, 2, 3, 4, 5, 6, 7)
+	if p, ok := f.decide(at(14.6), tenure); ok {
+		t.Errorf("decided with counts of 8 of 10 daemons: %+v", p)
+	}
+	f.send(t, at(14.61), 8)
+	if p, ok := f.decide(at(14.49), tenure); ok {
+		t.Errorf("decided although there is time to wait: %+v", p)
+	}
+	p, ok := f.decide(at(14.62), tenure)
+	if !ok || !slices.Equal(p.Decided, []usage.Window{1000, 1001}) || p.Stored.Windows[1000]["a"] != 9 {
+		t.Errorf("with counts of 9 of 10 daemons: %+v, %v", p, ok)
+	}
+	if p, ok := f.decide(at(15.1), tenure); ok {
+		t.Errorf("decided in haste although it is too late: %+v", p)
+	}
+}
+
 // Guards against a holder that reports its own counts as those of all daemons because their
 // messages do not reach it.
 func TestHolderThatHearsNobodyResigns(t *testing.T) {
