--- a/soak/duties.go
+++ b/soak/duties.go
@@ -49,8 +49,8 @@
 	}
 	holders := map[uint64]string{}
 	counts := map[int64]map[string]int64{}
-	// last is the last call of each holder; others of those that acted in between. Late
-	// calls after a pause are no acts.
+	// last is the last call of each holder, previous that of any. Calls that may be late do not
+	// count in the order of holders.
 	last := map[string]platformtest.ControlCall{}
 	var previous platformtest.ControlCall
 	for _, c := range calls {
