--- a/cli/soak.go
+++ b/cli/soak.go
@@ -36,6 +36,7 @@
 	cmd.Flag("upstreams", "Number of upstreams for plain requests.").Default("4").IntVar(&o.PlainReplicas)
 	cmd.Flag("callers", "Number of callers; every other one sends mostly plain requests, the others mostly streams.").Default("60").IntVar(&o.Callers)
 	cmd.Flag("direct", "Number of clients that reach the daemons without a proxy.").Default(strconv.Itoa(soak.DefaultDirect)).IntVar(&o.Direct)
+	cmd.Flag("restores", "Restores of the store per second, while daemons restart and the operator changes routes and keys; checks which version is in force at each daemon. Meant for 6 to 9 daemons.").Default("0").Float64Var(&o.Restores)
 	return map[string]func(env) error{cmd.FullCommand(): func(e env) error {
 		if err := o.Check(); err != nil {
 			return &ExitError{Code: ExitUsage, Err: err}
--- a/soak/act.go
+++ b/soak/act.go
@@ -64,6 +64,10 @@
 		s.injectDaemonFaults(ctx, f, f.Target)
 	case StoreServer:
 		if f.Kind == RestoreCopy {
+			if s.options.Restores > 0 {
+				s.restoreAndRestart(ctx, f)
+				return
+			}
 			s.restoreStore(ctx, f)
 			recordFault(StoreServer, 0)
 			return
@@ -92,6 +96,8 @@
 		switch f.Kind {
 		case RotateKey:
 			s.rotateKey()
+		case RestoreAndRestart:
+			s.restoreAndRestart(ctx, f)
 		case RollStops:
 			s.rollStops(ctx, f)
 		case SendPoisonRequest:
@@ -146,7 +152,8 @@
 	pause.For(ctx, f.Length)
 	writeAgain := s.store.Restore(older)
 	pause.For(ctx, min(f.Length, reregistrationTime))
-	writeAgain()
+	writeAgain(platformtest.OperatorKeys)
+	writeAgain(platformtest.ReplicaKeys)
 }
 
 // injectUpstreamFault injects one fault into an upstream or its link and returns
--- a/soak/crasheach.go
+++ b/soak/crasheach.go
@@ -146,7 +146,7 @@
 // that sent one of the runs or its link to the store, or on any link between daemons,
 // because that daemon may not have learnt of the crashes.
 func (obs *observations) checkPoisonRequest(p poisonRequest) string {
-	if !obs.faults.unaffected(StoreServer, 0, p.from, p.to) || len(p.runs) <= p.maxCrashes() {
+	if !obs.storeUnaffected(p.from, p.to) || len(p.runs) <= p.maxCrashes() {
 		return ""
 	}
 	knownAt := p.runs[p.maxCrashes()-1].at.Add(settleTime)
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -50,6 +50,9 @@
 	violations []string
 	// lateStops are the stops that outlasted their grace, from SIGTERM to SIGKILL.
 	lateStops []interval
+	// starts are the starts of the process, disturbances its starts, its ends and the signals
+	// other than SIGHUP that it was sent.
+	starts, disturbances []time.Time
 	// peakMB is the largest resident memory in MiB, sampled at each signal and during
 	// bursts of long bodies.
 	peakMB int
@@ -85,6 +88,7 @@
 		return eris.Wrap(err, "start a daemon")
 	}
 	d.cmd, d.stopRequested, d.exited = cmd, false, make(chan struct{})
+	d.starts, d.disturbances = append(d.starts, time.Now()), append(d.disturbances, time.Now())
 	go d.wait(cmd, d.exited)
 	return nil
 }
@@ -98,6 +102,7 @@
 		d.violations = append(d.violations, fmt.Sprintf("daemon %s ended by itself: %v", d.Name, err))
 	}
 	d.cmd = nil
+	d.disturbances = append(d.disturbances, time.Now())
 	close(exited)
 }
 
@@ -112,6 +117,9 @@
 	}
 	d.peakMB = max(d.peakMB, residentMB(d.cmd.Process.Pid))
 	d.stopRequested = d.stopRequested || terminates
+	if s != syscall.SIGHUP {
+		d.disturbances = append(d.disturbances, time.Now())
+	}
 	for _, s := range append(before, s) {
 		// The error is ignored: the process may have ended, and wait records how.
 		_ = d.cmd.Process.Signal(s)
--- a/soak/directcheck.go
+++ b/soak/directcheck.go
@@ -49,7 +49,7 @@
 	for _, a := range obs.direct {
 		runs := ran[a.ID]
 		delete(ran, a.ID)
-		violations := a.checkAnswer(runs)
+		violations := append(a.checkAnswer(runs), obs.checkContinuation(a.attempt, runs)...)
 		if a.whole {
 			out.sent++
 		}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -79,6 +79,12 @@
 	return true
 }
 
+// storeUnaffected reports whether the store was available between two times and within
+// settleTime before them, and had all that was written.
+func (obs *observations) storeUnaffected(from, to time.Time) bool {
+	return obs.faults.unaffected(StoreServer, 0, from, to) && obs.faults.unaffected(StoreContent, 0, from, to)
+}
+
 // countAffectedUpstreams returns how many of the first n upstreams were affected by a
 // fault between two times.
 func (f faultIntervals) countAffectedUpstreams(n int, from, to time.Time) int {
@@ -177,6 +183,7 @@
 	engines, plainReplicas int
 	daemons                int
 	grace                  time.Duration
+	configObservations
 }
 
 // check returns the promises that were broken, one text for each violation.
@@ -190,7 +197,7 @@
 	obs.countConcurrent()
 	for _, a := range obs.attempts {
 		attempts[a.ID] = a
-		for _, v := range obs.checkAttempt(a, ran[a.ID]) {
+		for _, v := range append(obs.checkAttempt(a, ran[a.ID]), obs.checkContinuation(a, ran[a.ID])...) {
 			out = append(out, fmt.Sprintf("%s: %s of daemon %d, sent %s, ended after %.2f s, status %d",
 				v, a.ID, a.daemon, a.sent.Format("15:04:05.000"), a.ended.Sub(a.sent).Seconds(), a.status))
 		}
@@ -203,6 +210,7 @@
 	out = append(out, obs.checkPauses()...)
 	out = append(out, obs.checkLimits()...)
 	out = append(out, obs.checkAnnouncements()...)
+	out = append(out, obs.checkConfigurations()...)
 	for _, p := range obs.poisonRequests {
 		if violation := obs.checkPoisonRequest(p); violation != "" {
 			out = append(out, fmt.Sprintf("crashes: %q, first sent %s: %s", p.body, p.from.Format("15:04:05.000"), violation))
@@ -340,7 +348,7 @@
 		stopped := slices.ContainsFunc(obs.plannedStops[componentID{Daemons, i}], func(iv interval) bool { return iv.from.Before(m.to) && m.from.Before(iv.to.Add(settleTime)) })
 		connected = connected || !stopped && obs.faults.unaffected(Daemons, i, m.from, m.to) && obs.faults.unaffected(StoreLinks, i, m.from, m.to)
 	}
-	if !connected || !obs.faults.unaffected(StoreServer, 0, m.from, m.to) {
+	if !connected || !obs.storeUnaffected(m.from, m.to) {
 		return ""
 	}
 	sent, exposed := 0, 0
@@ -431,7 +439,7 @@
 			continue
 		}
 		return obs.faults.unaffected(Daemons, daemon, d.at, r.at) && obs.faults.unaffected(StoreLinks, daemon, d.at, r.at) &&
-			obs.faults.unaffected(StoreServer, 0, d.at, r.at)
+			obs.storeUnaffected(d.at, r.at)
 	}
 	return false
 }
--- /dev/null
+++ b/soak/operator.go
@@ -0,0 +1,283 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/internal/pause"
+	"github.com/gooseberryroad/gooseberryroad/platform/platformtest"
+)
+
+const (
+	// daemonSeeds is the number of seeds that a daemon of the users' sites has at most.
+	daemonSeeds = 3
+	// maxStaleness is the greatest age of what serializable reads of the store return.
+	maxStaleness = 3 * time.Second
+	// probeService has probeReplicas upstreams. Routes are moved between it and the service
+	// of the plain requests.
+	probeService  = "probes"
+	plainService  = "tags"
+	probeReplicas = 2
+	// minChangeInterval and maxChangeInterval bound the time between two versions of the
+	// configuration, maxVersionStep the difference between their numbers.
+	minChangeInterval = 200 * time.Millisecond
+	maxChangeInterval = 2500 * time.Millisecond
+	maxVersionStep    = 9
+	// maxProbeRoutes and maxProbeKeys bound the additional routes and keys.
+	maxProbeRoutes = 8
+	maxProbeKeys   = 6
+	// probeInterval is the time between two probes of a daemon.
+	probeInterval = 30 * time.Millisecond
+	probeTimeout  = 3 * time.Second
+	// minCopyAge and maxCopyAge bound the age of the copy to which the store returns.
+	minCopyAge = 1500 * time.Millisecond
+	maxCopyAge = 6 * time.Second
+	// maxRewriteDelay is the greatest time from the restore until the operator writes a lost
+	// configuration again.
+	maxRewriteDelay = 8 * time.Second
+	// Daemons are killed from killsBefore before the outage of a restore until killsAfter
+	// after it, each with the probability killShare. The probability of a cut link is cutShare.
+	killsBefore = time.Second
+	killsAfter  = 3 * time.Second
+	killShare   = 0.6
+	cutShare    = 0.25
+	// minDown and maxDown bound the time until a killed daemon is started again.
+	minDown = 100 * time.Millisecond
+	maxDown = 1500 * time.Millisecond
+)
+
+// restoreWork lists the faults that come at the rate Options.Restores.
+var restoreWork = []faultType{{WholeSystem, RestoreAndRestart}}
+
+// randomTime returns a time between two bounds.
+func randomTime(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(max(high-low, 1))))
+}
+
+// probe is a request whose handling tells something about the configuration in force: a
+// route, which is the first part of its path, and a key.
+type probe struct {
+	route platformtest.Kind
+	key   string
+}
+
+// outcome is how a daemon handles a probe: the service that ran it, or one of the refusals.
+type outcome string
+
+const (
+	noRoute    outcome = "no route"
+	unknownKey outcome = "unknown key"
+)
+
+// configuration is a version of the configuration.
+type configuration struct {
+	version int
+	// written is when the operator began to write it.
+	written  time.Time
+	services map[platformtest.Kind]string
+	keys     map[string]bool
+}
+
+// outcome returns how a daemon handles a probe if the configuration is in force.
+func (c configuration) outcome(p probe) outcome {
+	service, known := c.services[p.route]
+	switch {
+	case !known:
+		return noRoute
+	case !c.keys[p.key]:
+		return unknownKey
+	}
+	return outcome(service)
+}
+
+// operator changes the configuration. Soak.mu guards its fields.
+type operator struct {
+	random *rand.Rand
+	// current is the newest configuration, probes are what its versions changed.
+	current configuration
+	probes  []probe
+}
+
+func newOperator(seed uint64) *operator {
+	return &operator{random: rand.New(rand.NewPCG(seed, operatorSequence)), current: configuration{
+		services: map[platformtest.Kind]string{platformtest.LookUp: plainService}, keys: map[string]bool{permanentKey: true},
+	}}
+}
+
+// next returns the next configuration, which has another rotated key and differs in one
+// more route or key.
+func (o *operator) next(version, previous int) configuration {
+	c := configuration{version: version, services: maps.Clone(o.current.services), keys: maps.Clone(o.current.keys)}
+	delete(c.keys, rotatedKey(previous))
+	removableRoutes := slices.DeleteFunc(slices.Sorted(maps.Keys(c.services)), func(k platformtest.Kind) bool { return k == platformtest.LookUp })
+	removableKeys := slices.DeleteFunc(slices.Sorted(maps.Keys(c.keys)), func(k string) bool { return k == permanentKey })
+	changed := probe{platformtest.LookUp, permanentKey}
+	switch change := o.random.IntN(5); {
+	case len(removableRoutes) == 0, change == 0 && len(removableRoutes) < maxProbeRoutes:
+		changed.route = platformtest.Kind(fmt.Sprintf("probe/%d", version))
+		c.services[changed.route] = probeService
+	case change == 1:
+		changed.route = removableRoutes[o.random.IntN(len(removableRoutes))]
+		delete(c.services, changed.route)
+	case len(removableKeys) == 0, change == 2 && len(removableKeys) < maxProbeKeys:
+		changed.key = fmt.Sprintf("added%d", version)
+		c.keys[changed.key] = true
+	case change == 3:
+		changed.key = removableKeys[o.random.IntN(len(removableKeys))]
+		delete(c.keys, changed.key)
+	default:
+		changed.route = removableRoutes[o.random.IntN(len(removableRoutes))]
+		c.services[changed.route] = map[string]string{plainService: probeService, probeService: plainService}[c.services[changed.route]]
+	}
+	c.keys[rotatedKey(version)] = true
+	o.probes = append(o.probes, changed, probe{platformtest.LookUp, rotatedKey(previous)}, probe{platformtest.LookUp, rotatedKey(version)})
+	o.current = c
+	return c
+}
+
+// changeConfiguration writes a further version of the configuration. The caller holds s.mu
+// and has raised configVersion by one.
+func (s *Soak) changeConfiguration() {
+	s.configVersion += s.operator.random.IntN(maxVersionStep)
+	c := s.operator.next(s.configVersion, s.previousVersion)
+	var added []platformtest.Route
+	for _, route := range slices.Sorted(maps.Keys(c.services)) {
+		if route != platformtest.LookUp {
+			added = append(added, platformtest.Route{Kind: route, Service: c.services[route]})
+		}
+	}
+	c.written = time.Now()
+	s.observed.configurations = append(s.observed.configurations, c)
+	s.store.ConfigureRoutes(burstBodyBytes, c.version, added, slices.Sorted(maps.Keys(c.keys))...)
+	s.observed.configEvents = append(s.observed.configEvents, configEvent{at: time.Now(), version: c.version})
+}
+
+// operate changes the configuration until the context ends, except while the store is not
+// available or has lost the newest one.
+func (s *Soak) operate(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.seed, operatorSequence))
+	for pause.For(ctx, randomTime(random, minChangeInterval, maxChangeInterval)) {
+		if !s.configLost.Load() && !s.store.Refuse.Load() {
+			s.rotateKey()
+		}
+	}
+}
+
+// probe sends probes to a daemon until the context ends, most of them for recent changes.
+func (s *Soak) probe(ctx context.Context, daemon int) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: probeTimeout}
+	defer client.CloseIdleConnections()
+	random := rand.New(rand.NewPCG(s.seed, operatorSequence+uint64(daemon)+1))
+	for n := 0; pause.For(ctx, probeInterval); n++ {
+		s.mu.Lock()
+		back := min(int(random.ExpFloat64()*4), len(s.operator.probes)-1)
+		p := s.operator.probes[len(s.operator.probes)-1-back]
+		s.mu.Unlock()
+		id := fmt.Sprintf("q%d-%d", daemon, n)
+		call := platformtest.Call{ID: id, Kind: p.route, Key: p.key, Timeout: probeTimeout, Body: fmt.Sprintf(directWorkFormat, 0)}
+		r, err := call.Request(ctx, s.clientLinks[daemon].address())
+		if err != nil {
+			panic(err) // cannot happen: the address is that of a proxy
+		}
+		a := answeredProbe{probe: p, id: id, daemon: daemon, sent: time.Now()}
+		res, err := client.Do(r)
+		if err != nil {
+			continue // a fault acts on the daemon
+		}
+		body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+		_ = res.Body.Close()
+		a.ended = time.Now()
+		if a.outcome = s.probeOutcome(res.StatusCode, string(body)); err == nil && a.outcome != "" {
+			s.mu.Lock()
+			s.observed.probes = append(s.observed.probes, a)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// probeOutcome returns the outcome of a probe; "" if its answer tells nothing about the
+// configuration.
+func (s *Soak) probeOutcome(status int, body string) outcome {
+	switch status {
+	case http.StatusNotFound:
+		return noRoute
+	case http.StatusUnauthorized:
+		return unknownKey
+	case http.StatusOK:
+		number := 0
+		if _, err := fmt.Sscanf(body, "whole answer of u%d-", &number); err != nil {
+			return ""
+		}
+		return outcome(s.allUpstreams()[number].service)
+	}
+	return ""
+}
+
+// restoreAndRestart makes the store return to an older copy after an outage as long as the
+// fault. Around it daemons are killed and started again, and links are cut. Upstreams
+// register again within the time that the users state, the operator writes the lost
+// configuration again later. It does nothing while another restore lasts.
+func (s *Soak) restoreAndRestart(ctx context.Context, f Fault) {
+	if !s.restoreMu.TryLock() {
+		return
+	}
+	defer s.restoreMu.Unlock()
+	random := rand.New(rand.NewPCG(s.seed, uint64(f.At)))
+	copied := time.Now()
+	s.mu.Lock()
+	older, copiedVersion := s.store.Copy(), s.configVersion
+	s.mu.Unlock()
+	pause.For(ctx, randomTime(random, minCopyAge, maxCopyAge)-killsBefore)
+	var others sync.WaitGroup
+	defer others.Wait()
+	links := []ComponentType{StoreLinks, PeerLinks}
+	cuts := []FaultKind{Reset, DropBoth, DropToServer, DropFromServer}
+	window := killsBefore + f.Length + killsAfter
+	for i := range s.daemons {
+		at, down := randomTime(random, 0, window), randomTime(random, minDown, maxDown)
+		if random.Float64() < killShare {
+			others.Go(func() {
+				pause.For(ctx, at)
+				s.injectDaemonFaults(ctx, Fault{Kind: Kill, Length: down}, i)
+			})
+		}
+		cut := Fault{Component: links[random.IntN(len(links))], Kind: cuts[random.IntN(len(cuts))], Target: i, At: randomTime(random, 0, window), Length: randomTime(random, minFault, maxFault)}
+		if random.Float64() < cutShare {
+			others.Go(func() {
+				pause.For(ctx, cut.At)
+				s.injectFault(ctx, cut)
+			})
+		}
+	}
+	registrations, rewrite := randomTime(random, 0, reregistrationTime), randomTime(random, 0, maxRewriteDelay)
+	pause.For(ctx, killsBefore)
+	began := time.Now()
+	s.configLost.Store(true)
+	s.store.Refuse.Store(true)
+	pause.For(ctx, f.Length)
+	s.mu.Lock()
+	lost := s.configVersion
+	writeAgain := s.store.Restore(older)
+	s.observed.configEvents = append(s.observed.configEvents, configEvent{at: time.Now(), version: copiedVersion, restored: true})
+	s.store.Refuse.Store(false)
+	s.observed.faults.add(StoreServer, 0, interval{began, time.Now()})
+	s.mu.Unlock()
+	others.Go(func() {
+		pause.For(ctx, registrations)
+		writeAgain(platformtest.ReplicaKeys)
+	})
+	pause.For(ctx, rewrite)
+	s.mu.Lock()
+	writeAgain(platformtest.OperatorKeys)
+	s.observed.configEvents = append(s.observed.configEvents, configEvent{at: time.Now(), version: lost})
+	s.observed.faults.add(StoreContent, 0, interval{copied, time.Now()})
+	s.mu.Unlock()
+	s.configLost.Store(false)
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -14,34 +14,35 @@
 // and an upstream, the one through which clients or other daemons reach a daemon, or
 // the one between a daemon and the store or the control service.
 const (
-	Crash               FaultKind = "crash"      // an upstream crashes and starts again under a new ID
-	Drain               FaultKind = "leave"      // an upstream registers as draining and stops later
-	Announce            FaultKind = "announce"   // an upstream says in its answers that it leaves, and stops later
-	AskPause            FaultKind = "ask-pause"  // an upstream turns requests away and asks for a pause
-	NameLimit           FaultKind = "limit"      // an upstream names in its answers how many requests a second it takes
-	Reset               FaultKind = "reset"      // all connections of a link are reset
-	Delay               FaultKind = "delay"      // a link forwards bytes late
-	DropToServer        FaultKind = "cut-forth"  // bytes towards the server are dropped
-	DropFromServer      FaultKind = "cut-back"   // bytes from the server are dropped
-	DropBoth            FaultKind = "silence"    // bytes in both directions are dropped, connections stay open
-	SilenceOpen         FaultKind = "mute"       // the open connections of a link go silent, new ones work
-	RefuseCalls         FaultKind = "refuse"     // the store refuses every call
-	LoseResponse        FaultKind = "lose"       // the store executes calls and cuts the connection
-	Kill                FaultKind = "kill"       // a daemon is killed and started again
-	Pause               FaultKind = "pause"      // a daemon gets SIGSTOP and later SIGCONT
-	Terminate           FaultKind = "terminate"  // a daemon gets SIGTERM and is started again
-	Reload              FaultKind = "reload"     // a daemon's settings file changes and it gets SIGHUP
-	RotateKey           FaultKind = "configure"  // the operator replaces one of the account's two keys
-	KillAll             FaultKind = "kill-all"   // all daemons are killed at once
-	CrashDataCentre     FaultKind = "crash-zone" // all upstreams of a data centre crash at once
-	MoveGood            FaultKind = "move-good"  // the operator moves a service to a version that works
-	MoveBad             FaultKind = "move-bad"   // the operator moves a service to a version that fails
-	MoveAfterRevert     FaultKind = "move-again" // a version that fails is reverted and stays registered during the next move
-	BurstBodies         FaultKind = "bodies"     // a daemon gets long bodies without a length, more than its memory holds
-	ExpireRegistrations FaultKind = "lapse"      // the store refuses calls, and the upstreams' registrations expire
-	TurnAway            FaultKind = "turn-away"  // the control service answers every call with 429
-	RestoreCopy         FaultKind = "restore"    // the store returns to an older copy, and what was lost is written again later
-	SendPoisonRequest   FaultKind = "crash-each" // a poison request, which crashes each upstream that runs it, is sent repeatedly
+	Crash               FaultKind = "crash"           // an upstream crashes and starts again under a new ID
+	Drain               FaultKind = "leave"           // an upstream registers as draining and stops later
+	Announce            FaultKind = "announce"        // an upstream says in its answers that it leaves, and stops later
+	AskPause            FaultKind = "ask-pause"       // an upstream turns requests away and asks for a pause
+	NameLimit           FaultKind = "limit"           // an upstream names in its answers how many requests a second it takes
+	Reset               FaultKind = "reset"           // all connections of a link are reset
+	Delay               FaultKind = "delay"           // a link forwards bytes late
+	DropToServer        FaultKind = "cut-forth"       // bytes towards the server are dropped
+	DropFromServer      FaultKind = "cut-back"        // bytes from the server are dropped
+	DropBoth            FaultKind = "silence"         // bytes in both directions are dropped, connections stay open
+	SilenceOpen         FaultKind = "mute"            // the open connections of a link go silent, new ones work
+	RefuseCalls         FaultKind = "refuse"          // the store refuses every call
+	LoseResponse        FaultKind = "lose"            // the store executes calls and cuts the connection
+	Kill                FaultKind = "kill"            // a daemon is killed and started again
+	Pause               FaultKind = "pause"           // a daemon gets SIGSTOP and later SIGCONT
+	Terminate           FaultKind = "terminate"       // a daemon gets SIGTERM and is started again
+	Reload              FaultKind = "reload"          // a daemon's settings file changes and it gets SIGHUP
+	RotateKey           FaultKind = "configure"       // the operator replaces one of the account's two keys
+	KillAll             FaultKind = "kill-all"        // all daemons are killed at once
+	CrashDataCentre     FaultKind = "crash-zone"      // all upstreams of a data centre crash at once
+	MoveGood            FaultKind = "move-good"       // the operator moves a service to a version that works
+	MoveBad             FaultKind = "move-bad"        // the operator moves a service to a version that fails
+	MoveAfterRevert     FaultKind = "move-again"      // a version that fails is reverted and stays registered during the next move
+	BurstBodies         FaultKind = "bodies"          // a daemon gets long bodies without a length, more than its memory holds
+	ExpireRegistrations FaultKind = "lapse"           // the store refuses calls, and the upstreams' registrations expire
+	TurnAway            FaultKind = "turn-away"       // the control service answers every call with 429
+	RestoreCopy         FaultKind = "restore"         // the store returns to an older copy, and what was lost is written again later
+	SendPoisonRequest   FaultKind = "crash-each"      // a poison request, which crashes each upstream that runs it, is sent repeatedly
+	RestoreAndRestart   FaultKind = "restore-restart" // as RestoreCopy, while daemons restart and links are cut
 )
 
 // ComponentType is a type of component of the system that faults act on.
@@ -58,7 +59,10 @@
 	// ControlServer is the control service, ControlLinks are the daemons' ways to it.
 	ControlServer ComponentType = "control"
 	ControlLinks  ComponentType = "control-link"
-	WholeSystem   ComponentType = "all"
+	// StoreContent is what was written to the store, from a copy until all that a restore
+	// lost was written again.
+	StoreContent ComponentType = "store-content"
+	WholeSystem  ComponentType = "all"
 )
 
 // faultType is a kind of fault of a type of component.
@@ -127,8 +131,12 @@
 	// soon after its end.
 	repeatShare = 0.2
 	// plannedSequence is the random sequence of planned work; lists of faultTypes have
-	// those from 0.
-	plannedSequence = 1 << 20
+	// those from 0. restoreSequence is that of restores, operatorSequence that of the
+	// operator's changes, seedSequence that of the daemons' seeds.
+	plannedSequence  = 1 << 20
+	restoreSequence  = plannedSequence + 1
+	operatorSequence = plannedSequence + 2
+	seedSequence     = plannedSequence + 3
 )
 
 // DrawPlan returns the faults of a seed in the order of time. The same seed always
@@ -140,6 +148,7 @@
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, uint64(i))), list, o.Rate*share, o)...)
 	}
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, plannedSequence)), plannedWork, o.PlannedRate, o)...)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, restoreSequence)), restoreWork, o.Restores, o)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +62,10 @@
 	Daemons, PlainReplicas, Callers, EnginesPerDataCentre int
 	// Direct is the number of clients that reach the daemons without a proxy.
 	Direct int
+	// Restores is the number of restores of the store per second, while daemons restart. If
+	// it is above 0, the operator changes routes and keys all the time, each daemon has
+	// daemonSeeds seeds, and serializable reads of the store may be stale.
+	Restores float64
 }
 
 func (o Options) engines() int { return o.EnginesPerDataCentre * len(dataCentres) }
@@ -69,8 +75,8 @@
 	if o.Length <= warmUp || o.Rate <= 0 || o.Daemons < 1 || o.PlainReplicas < 1 || o.Callers < 1 || o.EnginesPerDataCentre < 1 {
 		return eris.Errorf("soak: every number of components must be at least 1, the rate above 0 and the length above %s", warmUp)
 	}
-	if o.PlannedRate < 0 || o.Direct < 0 {
-		return eris.New("soak: the rate of planned work and the number of direct clients must be at least 0")
+	if o.PlannedRate < 0 || o.Direct < 0 || o.Restores < 0 {
+		return eris.New("soak: the rates of planned work and restores and the number of direct clients must be at least 0")
 	}
 	return nil
 }
@@ -91,6 +97,9 @@
 	// acted. Of the latter, Crossed got no answer because the daemon closed the connection
 	// within lossSlack.
 	Direct, DirectJudged, Crossed int
+	// Probes is the number of probes of the configuration that were answered, ProbesDue that of
+	// those that showed whether a version was in force that was due.
+	Probes, ProbesDue int
 	// Moves is the number of moves between versions that were ordered, DutyCalls that of
 	// the calls that the control service took.
 	Moves, DutyCalls int
@@ -110,6 +119,9 @@
 	s := fmt.Sprintf("seed %d: %d faults, %d moves, %d requests (%d judged), %d whole, %d refused, %d cut, %d direct (%d judged, %d crossed), %d duty calls, %d MB, %d stalls (%.1f s), %d broken",
 		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete,
 		r.Direct, r.DirectJudged, r.Crossed, r.DutyCalls, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
+	if r.Probes > 0 {
+		s += fmt.Sprintf(", %d probes (%d judged)", r.Probes, r.ProbesDue)
+	}
 	for _, v := range r.Violations {
 		s += "\n  " + v
 	}
@@ -146,7 +158,9 @@
 	// there: a version that is slow is reverted. laterTargets are those of a version to which the
 	// requests are moved while the version of moveTargets is still registered.
 	moveTargets, laterTargets []*upstream
-	daemons                   []*daemon
+	// probeTargets are the upstreams of probeService. No fault acts on them.
+	probeTargets []*upstream
+	daemons      []*daemon
 	// daemonMu holds, by the daemon's number, a lock that is held while a fault acts
 	// on the daemon.
 	daemonMu []sync.Mutex
@@ -166,11 +180,18 @@
 	// bursts counts the bursts of long bodies.
 	bursts atomic.Int64
 
+	// restoreMu is held from the copy of the store until all that was lost was written again,
+	// configLost is set while the newest configuration is lost.
+	restoreMu  sync.Mutex
+	configLost atomic.Bool
+
 	mu             sync.Mutex
 	faultErr       error
 	observed       observations
 	faultsInjected int
-	configVersion  int
+	// configVersion is the newest version of the configuration, previousVersion the one before.
+	configVersion, previousVersion int
+	operator                       *operator
 }
 
 // Run runs the soak of a seed. The daemons and upstreams listen on ports from p. The error is for a
@@ -180,8 +201,8 @@
 	if err != nil {
 		return Outcome{}, eris.Wrap(err, "create the directory for logs")
 	}
-	s := &Soak{options: o, seed: seed, logDir: dir, store: platformtest.NewStore(), control: platformtest.NewControl(), daemonMu: make([]sync.Mutex, o.Daemons)}
-	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, daemonStalls: map[int][]interval{}, pauses: map[int][]interval{}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
+	s := &Soak{options: o, seed: seed, logDir: dir, store: platformtest.NewStore(), control: platformtest.NewControl(), daemonMu: make([]sync.Mutex, o.Daemons), operator: newOperator(seed)}
+	s.observed = observations{faults: faultIntervals{}, plannedStops: faultIntervals{}, bursts: faultIntervals{}, daemonStalls: map[int][]interval{}, pauses: map[int][]interval{}, configObservations: configObservations{starts: map[int][]time.Time{}, disturbances: map[int][]time.Time{}}, engines: o.engines(), plainReplicas: o.PlainReplicas, daemons: o.Daemons, grace: stopGrace}
 	defer s.close()
 	if err := s.build(p); err != nil {
 		return Outcome{}, err
@@ -218,7 +239,19 @@
 			*targets = append(*targets, u)
 		}
 	}
+	if s.options.Restores > 0 {
+		s.store.SetStaleness(maxStaleness)
+		for range probeReplicas {
+			u, err := newUpstream(p, len(s.allUpstreams()), probeService)
+			if err != nil {
+				return err
+			}
+			s.probeTargets = append(s.probeTargets, u)
+			s.register(u, "ready")
+		}
+	}
 	s.rotateKey()
+	seeds := rand.New(rand.NewPCG(s.seed, seedSequence))
 	for i := range s.options.Daemons {
 		var addresses [3]string
 		for j := range addresses {
@@ -259,9 +292,9 @@
 	s.store.Rewrite = s.rewritePeerAddresses
 	s.store.SendEra()
 	for i, d := range s.daemons {
-		for j, p := range s.peerLinks {
-			if i != j {
-				d.Seeds = append(d.Seeds, p.address())
+		for _, j := range seeds.Perm(len(s.peerLinks)) {
+			if i != j && (s.options.Restores == 0 || len(d.Seeds) < daemonSeeds) {
+				d.Seeds = append(d.Seeds, s.peerLinks[j].address())
 			}
 		}
 		if err := d.start(); err != nil {
@@ -314,19 +347,26 @@
 func (s *Soak) rotateKey() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.previousVersion = s.configVersion
 	s.configVersion++
+	if s.options.Restores > 0 {
+		s.changeConfiguration()
+		return
+	}
 	s.store.ConfigureBodies(burstBodyBytes, s.configVersion, permanentKey, s.accountKey(0))
 }
 
-// accountKey returns the rotated key of the configuration that is versionsAgo
-// versions older than the newest one.
+// accountKey returns the rotated key of the newest configuration, or of the one before it
+// if versionsAgo is 1.
 func (s *Soak) accountKey(versionsAgo int) string {
-	return fmt.Sprintf("v%d", s.configVersion-versionsAgo)
+	return rotatedKey([]int{s.configVersion, s.previousVersion}[versionsAgo])
 }
 
+func rotatedKey(version int) string { return fmt.Sprintf("v%d", version) }
+
 // allUpstreams returns the upstreams in the order of their numbers.
 func (s *Soak) allUpstreams() []*upstream {
-	return slices.Concat(s.upstreams, s.moveTargets, s.laterTargets)
+	return slices.Concat(s.upstreams, s.moveTargets, s.laterTargets, s.probeTargets)
 }
 
 // upstreamRunning returns the number of an upstream that runs an attempt; -1 for none.
@@ -364,6 +404,15 @@
 		c := newDirectClient(s, i, directStyles[i%len(directStyles)])
 		callersDone.Go(func() { c.sendRequests(sending) })
 	}
+	operating, stopOperating := context.WithCancel(ctx)
+	defer stopOperating()
+	var operatorDone sync.WaitGroup
+	if s.options.Restores > 0 {
+		operatorDone.Go(func() { s.operate(operating) })
+		for i := range s.daemons {
+			callersDone.Go(func() { s.probe(sending, i) })
+		}
+	}
 	began := time.Now()
 	for _, f := range DrawPlan(s.seed, s.options) {
 		if !pause.For(ctx, time.Until(began.Add(f.At))) {
@@ -372,6 +421,8 @@
 		faultsDone.Go(func() { s.injectFault(ctx, f) })
 	}
 	faultsDone.Wait()
+	stopOperating()
+	operatorDone.Wait()
 	recoveryBegan := time.Now()
 	unrecovered := s.checkRecovery(ctx)
 	unreported := s.checkReportsGoOn(ctx, recoveryBegan)
@@ -400,6 +451,7 @@
 	for _, c := range callers {
 		s.observed.attempts = append(s.observed.attempts, c.attempts...)
 	}
+	recoveryOrders := map[string]int{}
 	for i, u := range s.allUpstreams() {
 		for _, received := range u.ReceivedRequests() {
 			// The other IDs are those of the recovery check and of poison requests.
@@ -408,6 +460,10 @@
 				s.observed.runs = append(s.observed.runs, ran)
 			case directPrefix:
 				s.observed.directRuns = append(s.observed.directRuns, ran)
+			case 'r':
+				if strings.Contains(ran.id, string(platformtest.Order)) {
+					recoveryOrders[ran.id]++
+				}
 			}
 		}
 	}
@@ -422,7 +478,16 @@
 		r.Stalls++
 		r.StallTime += iv.to.Sub(iv.from)
 	}
+	for i, d := range s.daemons {
+		s.observed.starts[i], s.observed.disturbances[i] = d.starts, d.disturbances
+	}
 	r.Violations = append(r.Violations, s.observed.check()...)
+	for id, runs := range recoveryOrders {
+		if runs > 1 {
+			r.Violations = append(r.Violations, fmt.Sprintf("twice: %d runs: %s", runs, id))
+		}
+	}
+	r.Probes, r.ProbesDue = len(s.observed.probes), s.observed.probesDue
 	calls := s.control.Calls()
 	r.DutyCalls = len(calls)
 	r.Violations = append(r.Violations, s.observed.checkDuties(calls)...)
