--- a/soak/configcheck.go
+++ b/soak/configcheck.go
@@ -56,8 +56,9 @@
 	probes         []answeredProbe
 	// starts and disturbances are those of daemon, by the daemon's number.
 	starts, disturbances map[int][]time.Time
-	// probesDue counts the probes that were checked for a version that was due.
-	probesDue int
+	// probesDue counts the probes that were checked for a version that was due, probesLost
+	// those of them for which it was one that the store did not have.
+	probesDue, probesLost int
 	// shown are the versions that the answers of each run of a process showed, in the order
 	// of time.
 	shown map[processRun][]shownVersion
@@ -105,10 +106,12 @@
 
 // dueVersion returns the version that must be in force at a daemon in touch, with the reason:
 // the newest one that has been in the store for configTime, or that another daemon had shown
-// to be in force by then and could pass on, as it was in touch since. A version that the
-// store lost and that no such daemon knows is due again once it is written again.
-func (obs *observations) dueVersion(daemon int, at time.Time) (version int, reason string) {
+// to be in force by then and that is still running and in touch. A version that the store
+// lost and that no such daemon knows is due again once it is written again. The daemon with
+// the version is -1 if the store has it.
+func (obs *observations) dueVersion(daemon int, at time.Time) (version, knownTo int, reason string) {
 	known := at.Add(-configTime)
+	knownTo = -1
 	for _, e := range obs.configEvents {
 		switch {
 		case e.restored && e.at.Before(at):
@@ -119,11 +122,11 @@
 	}
 	for other := range obs.daemons {
 		shown := obs.shownAt(obs.runAt(other, at), known)
-		if other != daemon && shown > version && obs.inTouch(other, known, at) {
-			version, reason = shown, fmt.Sprintf("was in force at daemon %d before %s", other, known.Format("15:04:05.000"))
+		if other != daemon && shown > version && obs.inTouch(other, at, at) {
+			version, knownTo, reason = shown, other, fmt.Sprintf("was in force at daemon %d before %s", other, known.Format("15:04:05.000"))
 		}
 	}
-	return version, reason
+	return version, knownTo, reason
 }
 
 // checkConfigurations returns the probes that were handled as only an older version of the
@@ -158,7 +161,11 @@
 		}
 		if obs.inTouch(p.daemon, p.sent, p.ended) {
 			obs.probesDue++
-			if due, reason := obs.dueVersion(p.daemon, p.sent); newest < due {
+			due, knownTo, reason := obs.dueVersion(p.daemon, p.sent)
+			if knownTo >= 0 {
+				obs.probesLost++
+			}
+			if newest < due {
 				report("config due", due, reason)
 				continue
 			}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -43,14 +43,13 @@
 	// configuration again.
 	maxRewriteDelay = 8 * time.Second
 	// Daemons are killed from killsBefore before the outage of a restore until killsAfter
-	// after it, each with the probability killShare. The probability of a cut link is cutShare.
-	killsBefore = time.Second
-	killsAfter  = 3 * time.Second
-	killShare   = 0.6
-	cutShare    = 0.25
-	// minDown and maxDown bound the time until a killed daemon is started again.
-	minDown = 100 * time.Millisecond
-	maxDown = 1500 * time.Millisecond
+	// after it, each but one with a probability of minKillShare to 1, and started again within
+	// maxDown. cutShare is the probability of a cut link.
+	killsBefore  = time.Second
+	killsAfter   = 3 * time.Second
+	minKillShare = 0.6
+	maxDown      = 1500 * time.Millisecond
+	cutShare     = 0.25
 )
 
 // restoreWork lists the faults that come at the rate Options.Restores.
@@ -116,24 +115,24 @@
 func (o *operator) next(version, previous int) configuration {
 	c := configuration{version: version, services: maps.Clone(o.current.services), keys: maps.Clone(o.current.keys)}
 	delete(c.keys, rotatedKey(previous))
-	removableRoutes := slices.DeleteFunc(slices.Sorted(maps.Keys(c.services)), func(k platformtest.Kind) bool { return k == platformtest.LookUp })
-	removableKeys := slices.DeleteFunc(slices.Sorted(maps.Keys(c.keys)), func(k string) bool { return k == permanentKey })
+	routes := slices.DeleteFunc(slices.Sorted(maps.Keys(c.services)), func(k platformtest.Kind) bool { return k == platformtest.LookUp })
+	keys := slices.DeleteFunc(slices.Sorted(maps.Keys(c.keys)), func(k string) bool { return k == permanentKey })
 	changed := probe{platformtest.LookUp, permanentKey}
 	switch change := o.random.IntN(5); {
-	case len(removableRoutes) == 0, change == 0 && len(removableRoutes) < maxProbeRoutes:
+	case len(routes) == 0, change == 0 && len(routes) < maxProbeRoutes:
 		changed.route = platformtest.Kind(fmt.Sprintf("probe/%d", version))
 		c.services[changed.route] = probeService
 	case change == 1:
-		changed.route = removableRoutes[o.random.IntN(len(removableRoutes))]
+		changed.route = routes[o.random.IntN(len(routes))]
 		delete(c.services, changed.route)
-	case len(removableKeys) == 0, change == 2 && len(removableKeys) < maxProbeKeys:
+	case len(keys) == 0, change == 2 && len(keys) < maxProbeKeys:
 		changed.key = fmt.Sprintf("added%d", version)
 		c.keys[changed.key] = true
 	case change == 3:
-		changed.key = removableKeys[o.random.IntN(len(removableKeys))]
+		changed.key = keys[o.random.IntN(len(keys))]
 		delete(c.keys, changed.key)
 	default:
-		changed.route = removableRoutes[o.random.IntN(len(removableRoutes))]
+		changed.route = routes[o.random.IntN(len(routes))]
 		c.services[changed.route] = map[string]string{plainService: probeService, probeService: plainService}[c.services[changed.route]]
 	}
 	c.keys[rotatedKey(version)] = true
@@ -205,19 +204,11 @@
 // probeOutcome returns the outcome of a probe; "" if its answer tells nothing about the
 // configuration.
 func (s *Soak) probeOutcome(status int, body string) outcome {
-	switch status {
-	case http.StatusNotFound:
-		return noRoute
-	case http.StatusUnauthorized:
-		return unknownKey
-	case http.StatusOK:
-		number := 0
-		if _, err := fmt.Sscanf(body, "whole answer of u%d-", &number); err != nil {
-			return ""
-		}
+	number := 0
+	if _, err := fmt.Sscanf(body, "whole answer of u%d-", &number); err == nil && status == http.StatusOK {
 		return outcome(s.allUpstreams()[number].service)
 	}
-	return ""
+	return map[int]outcome{http.StatusNotFound: noRoute, http.StatusUnauthorized: unknownKey}[status]
 }
 
 // restoreAndRestart makes the store return to an older copy after an outage as long as the
@@ -237,27 +228,29 @@
 	pause.For(ctx, randomTime(random, minCopyAge, maxCopyAge)-killsBefore)
 	var others sync.WaitGroup
 	defer others.Wait()
-	links := []ComponentType{StoreLinks, PeerLinks}
-	cuts := []FaultKind{Reset, DropBoth, DropToServer, DropFromServer}
+	links, cuts := []ComponentType{StoreLinks, PeerLinks}, []FaultKind{Reset, DropBoth, DropToServer, DropFromServer}
 	window := killsBefore + f.Length + killsAfter
+	survivor, killShare := random.IntN(len(s.daemons)), minKillShare+(1-minKillShare)*random.Float64()
 	for i := range s.daemons {
-		at, down := randomTime(random, 0, window), randomTime(random, minDown, maxDown)
-		if random.Float64() < killShare {
-			others.Go(func() {
-				pause.For(ctx, at)
-				s.injectDaemonFaults(ctx, Fault{Kind: Kill, Length: down}, i)
-			})
-		}
+		kill := Fault{Component: Daemons, Kind: Kill, Target: i, At: randomTime(random, 0, window), Length: randomTime(random, 0, maxDown)}
 		cut := Fault{Component: links[random.IntN(len(links))], Kind: cuts[random.IntN(len(cuts))], Target: i, At: randomTime(random, 0, window), Length: randomTime(random, minFault, maxFault)}
-		if random.Float64() < cutShare {
-			others.Go(func() {
-				pause.For(ctx, cut.At)
-				s.injectFault(ctx, cut)
-			})
+		inject := func(share float64, f Fault) {
+			if random.Float64() < share && i != survivor {
+				others.Go(func() {
+					pause.For(ctx, f.At)
+					s.injectFault(ctx, f)
+				})
+			}
 		}
+		inject(killShare, kill)
+		inject(cutShare, cut)
 	}
 	registrations, rewrite := randomTime(random, 0, reregistrationTime), randomTime(random, 0, maxRewriteDelay)
-	pause.For(ctx, killsBefore)
+	// Some daemons learn of a version that is written right before the outage, others do not.
+	lastChange := randomTime(random, 0, killsBefore)
+	pause.For(ctx, lastChange)
+	s.rotateKey()
+	pause.For(ctx, killsBefore-lastChange)
 	began := time.Now()
 	s.configLost.Store(true)
 	s.store.Refuse.Store(true)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -155,17 +155,14 @@
 
 // drawFaults draws faults at a rate, in faults per second, from one list of types.
 func drawFaults(random *rand.Rand, types []faultType, rate float64, o Options) []Fault {
-	randomDuration := func(low, high time.Duration) time.Duration {
-		return low + time.Duration(random.Int64N(int64(max(high-low, 1))))
-	}
 	count := map[ComponentType]int{Upstreams: o.engines() + o.PlainReplicas, StoreLinks: o.Daemons, ClientLinks: o.Daemons, PeerLinks: o.Daemons, Daemons: o.Daemons, StoreServer: 1, ControlServer: 1, ControlLinks: o.Daemons, WholeSystem: 1}
 	var plan []Fault
 	for range int(rate * o.Length.Seconds()) {
 		t := types[random.IntN(len(types))]
-		f := Fault{Component: t.component, Kind: t.kind, Target: random.IntN(count[t.component]), At: randomDuration(warmUp, o.Length), Length: randomDuration(minFault, maxFault)}
+		f := Fault{Component: t.component, Kind: t.kind, Target: random.IntN(count[t.component]), At: randomTime(random, warmUp, o.Length), Length: randomTime(random, minFault, maxFault)}
 		plan = append(plan, f)
 		for random.Float64() < repeatShare {
-			f.At += f.Length + randomDuration(0, minFault)
+			f.At += f.Length + randomTime(random, 0, minFault)
 			if f.At < o.Length {
 				plan = append(plan, f)
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -98,8 +98,9 @@
 	// within lossSlack.
 	Direct, DirectJudged, Crossed int
 	// Probes is the number of probes of the configuration that were answered, ProbesDue that of
-	// those that showed whether a version was in force that was due.
-	Probes, ProbesDue int
+	// those that were checked for a version that was due. ProbesLost is the number of the latter
+	// for which it was one that the store had lost.
+	Probes, ProbesDue, ProbesLost int
 	// Moves is the number of moves between versions that were ordered, DutyCalls that of
 	// the calls that the control service took.
 	Moves, DutyCalls int
@@ -120,7 +121,7 @@
 		r.Seed, r.Faults, r.Moves, r.Requests, r.Unaffected, r.Complete, r.Refused, r.Incomplete,
 		r.Direct, r.DirectJudged, r.Crossed, r.DutyCalls, r.PeakMB, r.Stalls, r.StallTime.Seconds(), len(r.Violations))
 	if r.Probes > 0 {
-		s += fmt.Sprintf(", %d probes (%d judged)", r.Probes, r.ProbesDue)
+		s += fmt.Sprintf(", %d probes (%d judged, %d by lost versions)", r.Probes, r.ProbesDue, r.ProbesLost)
 	}
 	for _, v := range r.Violations {
 		s += "\n  " + v
@@ -487,7 +488,7 @@
 			r.Violations = append(r.Violations, fmt.Sprintf("twice: %d runs: %s", runs, id))
 		}
 	}
-	r.Probes, r.ProbesDue = len(s.observed.probes), s.observed.probesDue
+	r.Probes, r.ProbesDue, r.ProbesLost = len(s.observed.probes), s.observed.probesDue, s.observed.probesLost
 	calls := s.control.Calls()
 	r.DutyCalls = len(calls)
 	r.Violations = append(r.Violations, s.observed.checkDuties(calls)...)
