soak: daemons reach each other directly in soaks with restores

Behind the proxies a daemon's registration held another address than the one it knows, so that it asked itself as one of three others for a newer configuration.

--- a/soak/operator.go
+++ b/soak/operator.go
@@ -44,7 +44,7 @@
 	maxRewriteDelay = 8 * time.Second
 	// Daemons are killed from killsBefore before the outage of a restore until killsAfter
 	// after it, each but one with a probability of minKillShare to 1, and started again within
-	// maxDown. cutShare is the probability of a cut link.
+	// maxDown. cutShare is the probability that a daemon is cut off from the store.
 	killsBefore  = time.Second
 	killsAfter   = 3 * time.Second
 	minKillShare = 0.6
@@ -212,7 +212,7 @@
 }
 
 // restoreAndRestart makes the store return to an older copy after an outage as long as the
-// fault. Around it daemons are killed and started again, and links are cut. Upstreams
+// fault. Around it daemons are killed and started again, or cut off from the store. Upstreams
 // register again within the time that the users state, the operator writes the lost
 // configuration again later. It does nothing while another restore lasts.
 func (s *Soak) restoreAndRestart(ctx context.Context, f Fault) {
@@ -228,12 +228,12 @@
 	pause.For(ctx, randomTime(random, minCopyAge, maxCopyAge)-killsBefore)
 	var others sync.WaitGroup
 	defer others.Wait()
-	links, cuts := []ComponentType{StoreLinks, PeerLinks}, []FaultKind{Reset, DropBoth, DropToServer, DropFromServer}
+	cuts := []FaultKind{Reset, DropBoth, DropToServer, DropFromServer}
 	window := killsBefore + f.Length + killsAfter
 	survivor, killShare := random.IntN(len(s.daemons)), minKillShare+(1-minKillShare)*random.Float64()
 	for i := range s.daemons {
 		kill := Fault{Component: Daemons, Kind: Kill, Target: i, At: randomTime(random, 0, window), Length: randomTime(random, 0, maxDown)}
-		cut := Fault{Component: links[random.IntN(len(links))], Kind: cuts[random.IntN(len(cuts))], Target: i, At: randomTime(random, 0, window), Length: randomTime(random, minFault, maxFault)}
+		cut := Fault{Component: StoreLinks, Kind: cuts[random.IntN(len(cuts))], Target: i, At: randomTime(random, 0, window), Length: randomTime(random, minFault, maxFault)}
 		inject := func(share float64, f Fault) {
 			if random.Float64() < share && i != survivor {
 				others.Go(func() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -290,12 +290,14 @@
 		}
 		s.clientLinks, s.daemons, s.peerLinks = append(s.clientLinks, clients), append(s.daemons, d), append(s.peerLinks, peers)
 	}
-	s.store.Rewrite = s.rewritePeerAddresses
+	if s.options.Restores == 0 {
+		s.store.Rewrite = s.rewritePeerAddresses
+	}
 	s.store.SendEra()
 	for i, d := range s.daemons {
 		for _, j := range seeds.Perm(len(s.peerLinks)) {
 			if i != j && (s.options.Restores == 0 || len(d.Seeds) < daemonSeeds) {
-				d.Seeds = append(d.Seeds, s.peerLinks[j].address())
+				d.Seeds = append(d.Seeds, s.peerAddress(j))
 			}
 		}
 		if err := d.start(); err != nil {
@@ -305,6 +307,17 @@
 	return nil
 }
 
+// peerAddress returns the address at which other daemons reach a daemon: that of its proxy, but
+// its own one in soaks with restores, in which a daemon that starts asks few others. With the
+// proxies it would take itself for another daemon: its registration holds another address than
+// the one that it knows.
+func (s *Soak) peerAddress(daemon int) string {
+	if s.options.Restores > 0 {
+		return s.daemons[daemon].PeerAddress
+	}
+	return s.peerLinks[daemon].address()
+}
+
 // rewritePeerAddresses replaces the peer addresses in a daemon's registration with
 // those of the proxies, so that other daemons reach it through its proxy.
 func (s *Soak) rewritePeerAddresses(value []byte) []byte {
