--- a/soak/operator.go
+++ b/soak/operator.go
@@ -44,12 +44,14 @@
 	maxRewriteDelay = 8 * time.Second
 	// Daemons are killed from killsBefore before the outage of a restore until killsAfter
 	// after it, each but one with a probability of minKillShare to 1, and started again within
-	// maxDown. cutShare is the probability that a daemon is cut off from the store.
-	killsBefore  = time.Second
-	killsAfter   = 3 * time.Second
-	minKillShare = 0.6
-	maxDown      = 1500 * time.Millisecond
-	cutShare     = 0.25
+	// maxDown. With the probability togetherShare, all are started only after the outage, so
+	// that the seeds that a daemon asks are down or have just started, too. cutShare is the probability that a daemon is cut off from the store.
+	killsBefore   = time.Second
+	killsAfter    = 3 * time.Second
+	minKillShare  = 0.6
+	maxDown       = 1500 * time.Millisecond
+	togetherShare = 0.5
+	cutShare      = 0.25
 )
 
 // restoreWork lists the faults that come at the rate Options.Restores.
@@ -229,10 +231,15 @@
 	var others sync.WaitGroup
 	defer others.Wait()
 	cuts := []FaultKind{Reset, DropBoth, DropToServer, DropFromServer}
-	window := killsBefore + f.Length + killsAfter
+	outageEnd, together := killsBefore+f.Length, random.Float64() < togetherShare
+	window := outageEnd + killsAfter
 	survivor, killShare := random.IntN(len(s.daemons)), minKillShare+(1-minKillShare)*random.Float64()
 	for i := range s.daemons {
 		kill := Fault{Component: Daemons, Kind: Kill, Target: i, At: randomTime(random, 0, window), Length: randomTime(random, 0, maxDown)}
+		if together {
+			kill.At = randomTime(random, 0, outageEnd)
+			kill.Length += outageEnd - kill.At
+		}
 		cut := Fault{Component: StoreLinks, Kind: cuts[random.IntN(len(cuts))], Target: i, At: randomTime(random, 0, window), Length: randomTime(random, minFault, maxFault)}
 		inject := func(share float64, f Fault) {
 			if random.Float64() < share && i != survivor {
