directory: compare configurations between daemons after a restore

Cause: such a daemon asked at most three others once. If these were down or had just started, too, it kept the copy's configuration: a daemon with the newer one has content of the same index, the relay passes on nothing after an equal index, and its changes never hold the configuration that takes the place of the copy's. A daemon also never learns from those that rank after it or that are in another data centre. Of three answers, only the one with the highest index was looked at for a newer version. A daemon with no configuration in the copy took none from others.

Evidence, on the code before, with one daemon that alone has version 9, and seeds that are down, silent or just started (directory, 4 of 4 fail):

[FAILED] ... if the running daemon is the one to follow [FAILED] ... if the running daemon follows the one that starts [FAILED] ... if the running daemon is in another data centre [FAILED] ... if two daemons start together Timed out after 9.000s. Expected <int64>: 1 to be equivalent to 9

and with real relays and a revoked key (platform):

Timed out after 8.001s. Expected [200, 200] to equal [401, 401]

The daemons now compare versions, whatever their indexes: a request names the version in force at the sender and its relay address, the response has the newer configuration, and a daemon that has an older one than the sender asks the sender in turn. Each daemon does so with all that it knows for 10 s after the first content of an era, and later with those that have not answered. One of the two always knows the other's address, from its seeds, from before the restore or from a registration, so the newer configuration passes. The question before the first request uses the same call, to three daemons as before and within the same 0.35 s. In era 0 there is no call, and none to the store at all. Daemons of earlier builds answer 404, and their whole content is fetched once an era.

With the change the five tests pass, and directory, relay, era, sources pass with -race, platform as a whole before its new test, which passes.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -313,6 +313,31 @@
 	// silent daemons do not answer, and fixed ones have the same answer after each wait.
 	silent map[string]bool
 	fixed  map[string]directory.Update
+	// exchanges counts the exchanges of configurations, and earlierBuild holds the daemons
+	// that know none.
+	exchanges    int
+	earlierBuild map[string]bool
+}
+
+func (m *memoryRelay) ExchangeConfig(ctx context.Context, address string, version int64, self string, slack time.Duration) (store.Entry, bool, error) {
+	m.mu.Lock()
+	m.exchanges++
+	f, cut, silent, earlier := m.followers[address], m.unreachable[address], m.silent[address], m.earlierBuild[address]
+	m.mu.Unlock()
+	switch {
+	case silent:
+		select {
+		case <-time.After(slack):
+		case <-ctx.Done():
+		}
+		return store.Entry{}, false, errors.New("no answer in time")
+	case f == nil || cut:
+		return store.Entry{}, false, errors.New("not reached")
+	case earlier:
+		return store.Entry{}, false, directory.ErrNoExchange
+	}
+	e, newer := f.Content().ExchangeConfig(version, self)
+	return e, newer, nil
 }
 
 func (m *memoryRelay) Fetch(ctx context.Context, address string, after uint64, wait, slack time.Duration) (directory.Update, error) {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -148,8 +148,12 @@
 	// an outage; they are zero during it.
 	recoveredAt      time.Time
 	recoveryRevision uint64
-	// config is the version of the configuration in force, in a store that tells an era.
-	config int64
+	// version is the version of the configuration in force; 0 if there is none. configEntry
+	// is its entry. config is the version in a store that tells an era.
+	version, config int64
+	configEntry     store.Entry
+	// exchange is shared by all contents of a follower.
+	exchange *exchange
 	// confirmation is shared by all contents of a follower, because it changes with
 	// each answer of the source.
 	confirmation *atomic.Pointer[confirmation]
@@ -254,6 +258,9 @@
 	lease          uint64
 	leaseGrantedAt time.Time
 	leaseEra       store.Era
+	exchange       *exchange
+	// learned passes newer configurations of other daemons to Run.
+	learned chan []store.Entry
 }
 
 // Era returns the newest era of the store that this daemon has learnt of.
@@ -284,10 +291,12 @@
 // NewFollower returns a follower whose view is empty until Run has read the
 // store.
 func NewFollower(o Options) *Follower {
-	f := &Follower{options: o, timing: newTiming(o.MaxStaleness), ready: make(chan struct{})}
+	f := &Follower{
+		options: o, timing: newTiming(o.MaxStaleness), ready: make(chan struct{}), exchange: newExchange(), learned: make(chan []store.Entry),
+	}
 	f.currentView.Store(&View{Daemons: 1})
 	f.confirmation.Store(&confirmation{renewed: make(chan struct{})})
-	f.content.Store(&Content{maxAge: f.timing.maxAge, Changed: make(chan struct{})})
+	f.content.Store(&Content{maxAge: f.timing.maxAge, exchange: f.exchange, Changed: make(chan struct{})})
 	return f
 }
 
@@ -307,6 +316,10 @@
 	// snapshot asks the store for all entries instead of the changes.
 	snapshot bool
 	peers    []string
+	// newerThan asks peers only for configurations newer than this version, if onlyConfig is
+	// set.
+	newerThan  int64
+	onlyConfig bool
 	// until is when the store or the followed daemon answers without a change; calls
 	// that begin later are answered at once.
 	until time.Time
@@ -327,6 +340,7 @@
 	outcomes := make(chan outcome)
 	go f.runQueries(ctx, queries, outcomes)
 	go f.keepRegistered(ctx)
+	go f.exchangeConfigs(ctx)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	s.sourceWorking = true
@@ -337,6 +351,8 @@
 			return
 		case now := <-tick.C:
 			s.expireKept(now)
+		case entries := <-f.learned:
+			f.takeNewerConfig(s, entries)
 		case o := <-outcomes:
 			f.handleOutcome(s, chooser, o)
 			if s.peersChanged {
@@ -356,7 +372,11 @@
 func (f *Follower) nextQuery(s *state, c *sources.Chooser) query {
 	now := time.Now()
 	if s.mustAskOthers() {
-		return query{source: sources.Source{Kind: sources.AskPeers}, peers: f.otherAddresses(s), until: now}
+		peers := f.otherAddresses(s.peerList())
+		return query{
+			source: sources.Source{Kind: sources.AskPeers}, peers: peers[:min(len(peers), maxAsked)], until: now,
+			newerThan: s.configVersion(), onlyConfig: true,
+		}
 	}
 	c.Confirmed(s.confirmedAt)
 	restored := s.loaded && f.Era() > store.EraOf(s.revision)
@@ -379,7 +399,7 @@
 		q.until = end
 	}
 	if q.source.Kind == sources.AskPeers {
-		q.peers = f.otherAddresses(s)
+		q.peers = f.otherAddresses(s.peerList())
 	}
 	return q
 }
@@ -389,10 +409,10 @@
 	now := time.Now()
 	switch o.query.source.Kind {
 	case sources.AskPeers:
-		if s.mustAskOthers() {
-			// Versions of the configuration are the same in all eras.
-			s.takeNewerConfig(o.update.Entries)
+		if o.query.onlyConfig {
+			f.takeNewerConfig(s, o.update.Entries)
 			s.othersAsked, s.dirty = true, true
+			return
 		}
 		if o.err == nil {
 			f.applyPeerUpdate(s, o.update, now)
@@ -453,6 +473,14 @@
 	f.applyUpdate(s, o.update, now)
 }
 
+// takeNewerConfig puts the newest of other daemons' configurations in force if it is newer
+// than the one that is known. Daemons that were asked before may lack it, too.
+func (f *Follower) takeNewerConfig(s *state, entries []store.Entry) {
+	if s.takeNewerConfig(entries) {
+		f.exchange.restart()
+	}
+}
+
 // applyPeerUpdate applies what another daemon knows, if it is newer.
 func (f *Follower) applyPeerUpdate(s *state, u Update, now time.Time) {
 	if u.Era() < f.Era() {
@@ -505,8 +533,8 @@
 	old := f.content.Load()
 	nearOutage := s.registry.NearOutage(confirmed)
 	config := int64(0)
-	if store.EraOf(s.revision) > 0 && s.table != nil {
-		config = s.table.Version()
+	if store.EraOf(s.revision) > 0 {
+		config = s.configVersion()
 	}
 	if !s.loaded || old.Revision == s.revision && old.config == config && old.sourceWorking == s.sourceWorking && old.nearOutage == nearOutage {
 		f.confirm(confirmed)
@@ -515,6 +543,7 @@
 	next := &Content{
 		recent: s.recent, recentFrom: s.recentFrom, Revision: s.revision, sourceWorking: s.sourceWorking, nearOutage: nearOutage,
 		recoveredAt: s.registry.RecoveredAt(), recoveryRevision: s.recoveryRevision, config: config,
+		version: s.configVersion(), configEntry: s.config, exchange: f.exchange,
 		confirmation: &f.confirmation, maxAge: f.timing.maxAge, Changed: make(chan struct{}), entries: s.contentEntries(),
 	}
 	f.content.Store(next)
@@ -596,6 +625,11 @@
 		defer cancel()
 		return f.options.Relay.Fetch(callCtx, q.source.Peer.Address, q.after, wait, followTimeout)
 	case sources.AskPeers:
+		if q.onlyConfig {
+			entries, answered := f.askConfigs(ctx, q.peers, q.newerThan)
+			f.options.Logger.Info("other daemons asked for a newer configuration", "known", q.newerThan, "asked", len(q.peers), "answered", answered, "newer", len(entries))
+			return Update{Entries: entries}, nil
+		}
 		if len(q.peers) == 0 {
 			return Update{}, eris.New("no other daemon is known")
 		}
@@ -638,7 +672,7 @@
 
 // otherAddresses returns the relay addresses of the other daemons in random
 // order.
-func (f *Follower) otherAddresses(s *state) []string {
+func (f *Follower) otherAddresses(peers []sources.Peer) []string {
 	known := map[string]bool{f.options.Self.Address: true}
 	var out []string
 	add := func(address string) {
@@ -647,7 +681,7 @@
 			out = append(out, address)
 		}
 	}
-	for _, p := range s.peers {
+	for _, p := range peers {
 		add(p.Address)
 	}
 	for _, a := range f.options.Seeds {
--- a/directory/state.go
+++ b/directory/state.go
@@ -265,13 +265,9 @@
 	for _, key := range plan.Remove {
 		s.remove(key, false, now)
 	}
-	version := int64(0)
-	if s.table != nil {
-		version = s.table.Version()
-	}
 	keptByKey := slices.DeleteFunc(slices.Clone(plan.Kept), isLeased)
 	s.log.Warn("store was restored from an older copy", "era", store.EraOf(revision), "previous_era", store.EraOf(s.revision),
-		"revision", store.RevisionOf(revision), "previous_revision", store.RevisionOf(s.revision), "configuration", version,
+		"revision", store.RevisionOf(revision), "previous_revision", store.RevisionOf(s.revision), "configuration", s.configVersion(),
 		"kept", keptByKey, "kept_of_daemons", len(plan.Kept)-len(keptByKey), "draining", draining, "lapsed", len(plan.Remove))
 }
 
@@ -401,15 +397,27 @@
 	return out
 }
 
-// takeNewerConfig puts the configuration of another daemon in force if it is newer than
-// the one that is known.
-func (s *state) takeNewerConfig(entries []store.Entry) {
+// takeNewerConfig puts the newest of other daemons' configurations in force and reports
+// whether it is newer than the one that was known. Versions of the configuration are the
+// same in all eras.
+func (s *state) takeNewerConfig(entries []store.Entry) (taken bool) {
 	for _, e := range entries {
 		c, ok, err := s.decoder.Config(e)
-		if ok && err == nil && s.table != nil && c.Version > s.table.Version() {
+		if ok && err == nil && (s.table == nil || c.Version > s.table.Version()) {
+			s.log.Warn("newer configuration of another daemon", "version", c.Version, "known", s.configVersion(), "revision", store.Shown(s.revision))
 			s.putConfig(e)
+			taken = true
 		}
 	}
+	return taken
+}
+
+// configVersion returns the version of the configuration in force; 0 if there is none.
+func (s *state) configVersion() int64 {
+	if s.table == nil {
+		return 0
+	}
+	return s.table.Version()
 }
 
 // keepChange keeps a change for the followers. Old changes are dropped in bulk.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,8 +3,6 @@
 package relay
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -72,6 +70,7 @@
 func Handler(content func() *directory.Content, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	cached := &answerCache{}
+	mux.HandleFunc("POST "+ConfigPath, handleConfig(content, log))
 	mux.HandleFunc("GET "+Path, func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 		if err != nil {
@@ -131,23 +130,10 @@
 	case u.Snapshot && slot.content != nil && slot.content.SameConfig(content) && slot.content.Revision > after && now.Sub(slot.madeAt) < snapshotReuse:
 		return slot.compressed, slot.age + now.Sub(slot.madeAt)
 	}
-	*slot = answer{content: content, after: after, age: u.Age, madeAt: now, compressed: compress(u)}
+	*slot = answer{content: content, after: after, age: u.Age, madeAt: now, compressed: compressJSON(encode(u))}
 	return slot.compressed, u.Age
 }
 
-func compress(u directory.Update) []byte {
-	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
-	err := json.NewEncoder(z).Encode(encode(u))
-	if err == nil {
-		err = z.Close()
-	}
-	if err != nil {
-		panic(err) // strings and numbers always encode as JSON, and writes to a buffer do not fail
-	}
-	return b.Bytes()
-}
-
 func encode(u directory.Update) wireUpdate {
 	out := wireUpdate{Revision: u.Revision, NearOutage: u.NearOutage, RecoveryRevision: u.RecoveryRevision, Snapshot: u.Snapshot}
 	for _, e := range u.Entries {
