--- a/directory/state.go
+++ b/directory/state.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"bytes"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -206,7 +207,7 @@
 		seen := make(map[string]bool, len(entries))
 		for _, e := range entries {
 			seen[e.Key] = true
-			if old, ok := s.entries[e.Key]; !ok || old.Index < e.Index {
+			if old, ok := s.entries[e.Key]; !ok || old.Index != e.Index || !bytes.Equal(old.Value, e.Value) {
 				s.write(e, now)
 			}
 		}
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -86,3 +86,19 @@
 		o.Expect(s.recent[0].Index).To(Equal(s.recentFrom + 1))
 	}
 }
+
+// Guards against a newer configuration that is ignored in the content of another daemon,
+// because it takes the place of the copy's under the index that the copy's has in the store.
+func TestNewerConfigurationUnderTheIndexOfTheCopy(t *testing.T) {
+	o := NewWithT(t)
+	s := newState(configDecoder{}, slog.New(slog.DiscardHandler))
+	config := func(version string) store.Entry {
+		return store.Entry{Key: "config", Value: []byte(`{"Version": ` + version + `}`), Index: store.At(3, 60)}
+	}
+	s.applySnapshot([]store.Entry{config("50")}, store.At(3, 74), time.Now())
+	s.applySnapshot([]store.Entry{config("54")}, store.At(3, 80), time.Now())
+	o.Expect(s.configVersion()).To(BeEquivalentTo(54))
+	s.applySnapshot([]store.Entry{config("50")}, store.At(3, 81), time.Now())
+	o.Expect(s.configVersion()).To(BeEquivalentTo(54))
+	o.Expect(s.contentEntries()).To(ConsistOf(config("54")))
+}
