--- a/directory/follower.go
+++ b/directory/follower.go
@@ -102,6 +102,9 @@
 	Entries  []store.Entry
 	Changes  []store.Change
 	Revision uint64
+	// RevisionUnknown says that no changes can be read after the snapshot, because the entries
+	// may be from before a restore of the store. Revision tells the era only.
+	RevisionUnknown bool
 	// Age is the time since the store confirmed the content to any daemon. It only
 	// grows as the content is passed on, so that daemons cannot confirm content to
 	// each other.
@@ -381,7 +384,7 @@
 	c.Confirmed(s.confirmedAt)
 	restored := s.loaded && f.Era() > store.EraOf(s.revision)
 	q := query{
-		source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted || restored,
+		source: c.Next(now, s.loaded), after: s.revision, snapshot: !s.loaded || s.compacted || restored || s.revisionUnknown,
 		until: s.confirmedAt.Add(f.timing.confirmInterval),
 	}
 	switch {
@@ -488,6 +491,7 @@
 		return
 	}
 	f.options.Store.NoteEra(u.Era())
+	u.RevisionUnknown = u.Snapshot && u.Era() > 0 && store.RevisionOf(u.Revision) == 0
 	if !s.loaded {
 		s.othersAsked = true
 	}
@@ -513,6 +517,7 @@
 func (f *Follower) applyUpdate(s *state, u Update, now time.Time) {
 	if u.Snapshot {
 		s.applySnapshot(u.Entries, u.Revision, now)
+		s.revisionUnknown = u.RevisionUnknown
 		return
 	}
 	s.applyChanges(u.Changes, u.Revision, now)
@@ -649,7 +654,8 @@
 
 // readSnapshot reads the pages that are missing and returns the snapshot. The first
 // snapshot of a daemon may be some seconds old: the daemons that start together all
-// need one, and the next call brings what has changed since.
+// need one, and the next call brings what has changed since. In an era above 0 the next
+// call is for a snapshot, too, because the first one may be from before a restore.
 func (f *Follower) readSnapshot(ctx context.Context, q query, reader *snapshotReader) (Update, error) {
 	reader.mayBeStale, reader.staleAge = q.after == 0, f.timing.maxAge
 	for {
--- a/directory/state.go
+++ b/directory/state.go
@@ -148,6 +148,9 @@
 	loaded      bool
 	// compacted says that the store no longer has the changes after revision.
 	compacted bool
+	// revisionUnknown says that the entries may be from before the store was restored, and
+	// that revision tells the era only.
+	revisionUnknown bool
 	// sourceWorking says that, by its last answer, the current source is up to date:
 	// the store answered, or the followed daemon sees the store. storeReachable says
 	// that the last call to the store succeeded.
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -102,3 +102,31 @@
 	o.Expect(s.configVersion()).To(BeEquivalentTo(54))
 	o.Expect(s.contentEntries()).To(ConsistOf(config("54")))
 }
+
+// Guards against an index of content that is from before a restore: the daemon, and those
+// that follow it, would lack what the store has written since up to this index.
+func TestFirstSnapshotHasNoIndexInAnEra(t *testing.T) {
+	o := NewWithT(t)
+	for _, c := range []struct {
+		mayBeStale bool
+		revision   uint64
+		want       uint64
+	}{{true, 80, 80}, {false, store.At(3, 74), store.At(3, 74)}, {true, store.At(3, 80), store.At(3, 0)}} {
+		r := snapshotReader{mayBeStale: c.mayBeStale}
+		o.Expect(r.addPage(store.Page{Revision: c.revision}, time.Now())).To(BeTrue())
+		u := r.finish(time.Now())
+		o.Expect(u.Revision).To(Equal(c.want))
+		o.Expect(u.RevisionUnknown).To(Equal(c.revision != c.want))
+	}
+	s := newState(configDecoder{}, slog.New(slog.DiscardHandler))
+	entry := func(key, value string, revision uint64) store.Entry {
+		return store.Entry{Key: key, Value: []byte(value), Index: store.At(3, revision)}
+	}
+	s.applySnapshot([]store.Entry{entry("config", `{"Version": 50}`, 79), entry(DutyPrefix+"a", "lost", 80)}, store.At(3, 0), time.Now())
+	now := entry("config", `{"Version": 52}`, 75)
+	s.applySnapshot([]store.Entry{now}, store.At(3, 75), time.Now())
+	o.Expect(s.revision).To(Equal(store.At(3, 75)))
+	o.Expect(s.configVersion()).To(BeEquivalentTo(52))
+	o.Expect(s.contentEntries()).To(ConsistOf(now))
+	o.Expect(s.duties).To(BeEmpty())
+}
--- a/directory/whole.go
+++ b/directory/whole.go
@@ -64,6 +64,11 @@
 	u := Update{Snapshot: true, Entries: r.entries, Revision: r.revision, Age: now.Sub(r.began)}
 	if r.mayBeStale {
 		u.Age = r.staleAge
+		if e := store.EraOf(r.revision); e > 0 {
+			// The pages may be from before the store was restored, when its revisions counted
+			// other changes.
+			u.Revision, u.RevisionUnknown = store.At(e, 0), true
+		}
 	}
 	*r = snapshotReader{}
 	return u
