relay: reuse a compressed answer within one era only

One that knew the new era took the other for a daemon that does not see the store and passed it over for 1 s; one that did not know it read the lost content first.

Neither tells the eras apart, because the newest configuration stays in force.

restored_test.go:80: a follower that is behind gets revision 1/15 of a daemon that knows 2/10

An answer is now reused only for content of its own era.

With the change relay (twice) and the 31 specs of directory pass, with -race.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -175,9 +175,12 @@
 	return time.Since(c.confirmation.Load().at)
 }
 
-// SameConfig reports whether the content passes on the same configuration as other. In a
-// store that tells no era, the configuration only changes with the revision.
-func (c *Content) SameConfig(other *Content) bool { return c.config == other.config }
+// SameState reports whether the content is of the same era as other and passes on the same
+// configuration. In a store that tells no era, the configuration only changes with the
+// revision.
+func (c *Content) SameState(other *Content) bool {
+	return c.config == other.config && store.EraOf(c.Revision) == store.EraOf(other.Revision)
+}
 
 // UpToDate reports whether the daemon's own source works and the store confirmed
 // the content lately.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,7 +127,7 @@
 	switch {
 	case slot.content == content && (u.Snapshot || slot.after == after):
 		return slot.compressed, u.Age
-	case u.Snapshot && slot.content != nil && slot.content.SameConfig(content) && slot.content.Revision > after && now.Sub(slot.madeAt) < snapshotReuse:
+	case u.Snapshot && slot.content != nil && slot.content.SameState(content) && slot.content.Revision > after && now.Sub(slot.madeAt) < snapshotReuse:
 		return slot.compressed, slot.age + now.Sub(slot.madeAt)
 	}
 	*slot = answer{content: content, after: after, age: u.Age, madeAt: now, compressed: compressJSON(encode(u))}
