--- a/directory/state.go
+++ b/directory/state.go
@@ -208,9 +208,12 @@
 		s.applyRestored(entries, revision, now)
 	} else {
 		seen := make(map[string]bool, len(entries))
+		// Content without an index may be from before a restore, with indexes that are too high.
+		unordered := store.EraOf(s.revision) > 0 && store.RevisionOf(s.revision) == 0
 		for _, e := range entries {
 			seen[e.Key] = true
-			if old, ok := s.entries[e.Key]; !ok || old.Index != e.Index || !bytes.Equal(old.Value, e.Value) {
+			if old, ok := s.entries[e.Key]; !ok || old.Index < e.Index || unordered && old.Index > e.Index ||
+				old.Index == e.Index && !bytes.Equal(old.Value, e.Value) {
 				s.write(e, now)
 			}
 		}
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -130,3 +130,19 @@
 	o.Expect(s.contentEntries()).To(ConsistOf(now))
 	o.Expect(s.duties).To(BeEmpty())
 }
+
+// Guards against an entry that goes back to an older value: pages of a first snapshot differ in
+// their age, and the content of another daemon may lie between them.
+func TestSnapshotOfAnotherDaemonBringsNoOlderEntryBack(t *testing.T) {
+	o := NewWithT(t)
+	s := newState(configDecoder{}, slog.New(slog.DiscardHandler))
+	rejected := func(value string, index uint64) store.Entry {
+		return store.Entry{Key: RejectedPrefix + "tags", Value: []byte(value), Index: index}
+	}
+	// The first page was read at revision 100, a later one at 150.
+	s.applySnapshot([]store.Entry{rejected(`{"v2":139}`, 140)}, 100, time.Now())
+	known := s.rejected["tags"]
+	o.Expect(known).NotTo(BeEmpty())
+	s.applySnapshot([]store.Entry{rejected(`{}`, 90)}, 120, time.Now())
+	o.Expect(s.rejected["tags"]).To(Equal(known))
+}
