--- a/soak/operator.go
+++ b/soak/operator.go
@@ -182,7 +182,9 @@
 		p := s.operator.probes[len(s.operator.probes)-1-back]
 		s.mu.Unlock()
 		id := fmt.Sprintf("q%d-%d", daemon, n)
-		call := platformtest.Call{ID: id, Kind: p.route, Key: p.key, Timeout: probeTimeout, Body: fmt.Sprintf(directWorkFormat, 0)}
+		// Requests with a common body are quarantined after crashes of the upstreams that ran them.
+		body := fmt.Sprintf(directWorkFormat, 0) + " for " + id
+		call := platformtest.Call{ID: id, Kind: p.route, Key: p.key, Timeout: probeTimeout, Body: body}
 		r, err := call.Request(ctx, s.clientLinks[daemon].address())
 		if err != nil {
 			panic(err) // cannot happen: the address is that of a proxy
@@ -192,10 +194,10 @@
 		if err != nil {
 			continue // a fault acts on the daemon
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+		answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
 		_ = res.Body.Close()
 		a.ended = time.Now()
-		if a.outcome = s.probeOutcome(res.StatusCode, string(body)); err == nil && a.outcome != "" {
+		if a.outcome = s.probeOutcome(res.StatusCode, string(answer)); err == nil && a.outcome != "" {
 			s.mu.Lock()
 			s.observed.probes = append(s.observed.probes, a)
 			s.mu.Unlock()
