gateway: probe and stop a run over a new connection if the open ones are dead

A stream that gets no event for 220 ms probes its engine, and did so over an idle connection if there was one. If all open connections to the engine had gone silent while new ones worked, the probe got no answer, the engine counted as unreachable, and the stream went on at another engine without the stop that a reachable engine gets. Closing the dead connection does not reach the engine, so that both engines worked on the stream.

A probe is now sent over a new connection, too, if it has no answer after a third of its time, and the first answer counts. The call that stops a run always uses a new connection. Other control calls keep their connections: a load query or a copy without an answer moves no stream.

Failing before, `go test ./platform -run TestPlatform -ginkgo.focus "whose connection to its engine is lost"`:

upstream lost id=long upstream=e0 events=11 next=restore copy=e1 cause="verdict of the probe: unreachable" [FAILED] run 0 works on <time.Time>: 2026-12-07T21:29:56.488292581Z to be <= <time.Time>: 2026-12-07T21:29:54.231291146Z

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -78,7 +78,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), adoptTimeout)
 	defer cancel()
-	report, ok := g.queryReport(ctx, old, "")
+	report, ok := g.queryReport(ctx, old, "", 0)
 	if !ok || !view.Table.UniquelyServes(old.Service, report.Models) {
 		return false
 	}
--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -149,7 +149,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	stop := controlCall{method: http.MethodPost, attemptID: s.r.ID}
+	// Other open connections may be as dead as that of the run.
+	stop := controlCall{method: http.MethodPost, attemptID: s.r.ID, maxIdle: forceNewConnection}
 	stop.target, stop.body = s.g.o.Protocol.StopRequest(s.r.ID, to.Address)
 	for {
 		resp, body, err := s.g.call(ctx, p.upstream, stop)
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -291,7 +291,7 @@
 	results := make(chan result, len(asked))
 	for _, c := range asked {
 		go func() {
-			report, ok := g.queryReport(ctx, c, "")
+			report, ok := g.queryReport(ctx, c, "", 0)
 			results <- result{c, report, ok}
 		}()
 	}
@@ -377,6 +377,9 @@
 	// attemptID identifies the client's attempt whose run the call is about; empty if there is
 	// none.
 	attemptID string
+	// maxIdle bounds how long a reused connection may have been idle; 0 leaves only the pool's
+	// own bound.
+	maxIdle time.Duration
 }
 
 // ask makes a control call and returns the body of the response.
@@ -403,7 +406,7 @@
 		header.Set("Content-Type", "application/json")
 	}
 	resp, err := g.o.Pool.Do(ctx, upstream.Request{
-		Address: in.Address, Method: c.method, Target: c.target, Host: in.Address, Header: header, Body: c.body,
+		Address: in.Address, Method: c.method, Target: c.target, Host: in.Address, Header: header, Body: c.body, MaxIdle: c.maxIdle,
 		// A response to a call about another run may arrive late on the connection.
 		Matches: func(h http.Header) bool {
 			id := g.o.Protocol.DecodeResponseHead(0, h).ID
@@ -424,9 +427,10 @@
 	return resp, body, nil
 }
 
-// queryReport asks an engine for its state and records its load in the tracker.
-func (g *Gateway) queryReport(ctx context.Context, in registry.Instance, id string) (EngineReport, bool) {
-	body, header, err := g.askWithHeader(ctx, in, controlCall{method: http.MethodGet, target: g.o.Protocol.ReportTarget()})
+// queryReport asks an engine for its state and records its load in the tracker. maxIdle is
+// that of the call.
+func (g *Gateway) queryReport(ctx context.Context, in registry.Instance, id string, maxIdle time.Duration) (EngineReport, bool) {
+	body, header, err := g.askWithHeader(ctx, in, controlCall{method: http.MethodGet, target: g.o.Protocol.ReportTarget(), maxIdle: maxIdle})
 	if err != nil {
 		return EngineReport{Verdict: failover.VerdictUnreachable}, false
 	}
@@ -441,12 +445,55 @@
 	return report, true
 }
 
+// probeHedgeShare is the part of the time for a probe after which the engine is asked over a
+// new connection, too. A few round trips fit into each part.
+const probeHedgeShare = 1.0 / 3
+
+// queryReportHedged asks an engine for its state, and once more over a new connection if it does
+// not answer soon: all open connections may be silent while the engine can be reached over
+// others. It returns the first report, or a verdict if there is none.
+func (g *Gateway) queryReportHedged(ctx context.Context, in registry.Instance, id string) EngineReport {
+	type result struct {
+		report EngineReport
+		ok     bool
+	}
+	results := make(chan result, 2)
+	ask := func(maxIdle time.Duration) {
+		report, ok := g.queryReport(ctx, in, id, maxIdle)
+		results <- result{report, ok}
+	}
+	go ask(0)
+	hedge := time.NewTimer(time.Duration(probeHedgeShare * float64(g.o.Failover.ProbeTimeout)))
+	defer hedge.Stop()
+	hedged := hedge.C
+	out := EngineReport{Verdict: failover.VerdictUnreachable}
+	for running := 1; running > 0; {
+		select {
+		case res := <-results:
+			running--
+			if res.ok {
+				return res.report
+			}
+			if res.report.Verdict != failover.VerdictUnreachable {
+				out = res.report
+			}
+		case <-hedged:
+		}
+		if hedged != nil {
+			hedged = nil
+			running++
+			go ask(forceNewConnection)
+		}
+	}
+	return out
+}
+
 // probe asks an engine whether it still runs a stream and sends the answer to
 // out. An engine that has restarted since it was registered does not run it.
 func (g *Gateway) probe(ctx context.Context, in registry.Instance, id string, out chan<- EngineReport) {
 	ctx, cancel := context.WithTimeout(ctx, g.o.Failover.ProbeTimeout)
 	defer cancel()
-	report, _ := g.queryReport(ctx, in, id)
+	report := g.queryReportHedged(ctx, in, id)
 	if report.StartedMs != 0 && in.StartUnixMilli != 0 && report.StartedMs != in.StartUnixMilli {
 		report.Verdict = failover.VerdictIdle
 	}
