gateway: stop the run of a stream that its engine may not know it has left

A stream told its engine that it goes on elsewhere only by closing the connection, unless the engine had just answered that it runs the stream. The engine does not notice the close if its side of the connection is silent, for example because the connection was reset on the daemon's side only, or if the open connections are silent and the engine itself does not answer for a moment (a healthy one may be silent for about a second). Both engines then worked on the stream although the daemon could reach the first one.

A stream that leaves an engine without its answer, or after its response broke off, now stops the run over a new connection in the background: until the engine answers or refuses connections, for 3 s at most. A run that goes to the same engine again ends these tries first. Streams are not delayed.

Failing before, `go test ./platform -run TestPlatform -ginkgo.focus "whose connection to its engine is lost"`:

[FAILED] run 0 works on <time.Time>: 2026-12-07T21:44:01.926094485Z to be <= <time.Time>: 2026-12-07T21:43:59.601354538Z upstream lost id=long upstream=e0 events=11 next=restore copy=e2 cause="... read: connection reset by peer" [FAILED] run 0 works on <time.Time>: 0001-01-01T00:00:00Z not to be zero-valued Ran 4 of 109 Specs, 2 Passed, 2 Failed

After: 3 of 3 plays with -race pass. "goes on at the same one if no other has room" guards the new tries and passed before, too.

--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -5,11 +5,14 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/gooseberryroad/gooseberryroad/failover"
 	"github.com/gooseberryroad/gooseberryroad/internal/bounds"
 	"github.com/gooseberryroad/gooseberryroad/internal/pause"
 	"github.com/gooseberryroad/gooseberryroad/placement"
 	"github.com/gooseberryroad/gooseberryroad/registry"
+	"github.com/gooseberryroad/gooseberryroad/upstream"
 )
 
 const (
@@ -138,40 +141,56 @@
 // one. It reports whether the run was stopped and its memory kept, and sets where the
 // stream goes on.
 func (s *stream) stopRun(ctx context.Context, p *assignment) bool {
-	to := p.copyTo
-	if to.ID == "" || !s.g.available(to, time.Now()) {
-		// The run has to end before another one begins, also where a copy finds no room.
-		next := s.withAnyCopyTarget(assignment{upstream: p.upstream}, s.g.rank(s.r, map[string]bool{p.upstream.ID: true})).copyTo
-		if next.ID == "" {
-			return false
-		}
-		to = next
+	to, ok := s.stopTarget(*p)
+	if !ok {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
+	resp, handle, err := s.g.callStop(ctx, s.r.ID, p.upstream, to)
+	if err != nil {
+		s.g.o.Logger.Info("run not stopped", "id", s.r.ID, "upstream", p.upstream.ID, "cause", err)
+		return false
+	}
+	if resp.Status != http.StatusOK {
+		// The run was stopped and not copied; its engine kept the memory.
+		to = p.upstream
+	}
+	s.g.o.Logger.Info("run stopped", "id", s.r.ID, "upstream", p.upstream.ID, "next", to.ID, "after", s.lastEventID)
+	p.copyTo, p.copyHandle = to, handle
+	return true
+}
+
+// stopTarget returns the engine that gets the memory of a run that is stopped; false if there
+// is none.
+func (s *stream) stopTarget(p assignment) (registry.Instance, bool) {
+	if p.copyTo.ID != "" && s.g.available(p.copyTo, time.Now()) {
+		return p.copyTo, true
+	}
+	// The run has to end before another one begins, also where a copy finds no room.
+	next := s.withAnyCopyTarget(assignment{upstream: p.upstream}, s.g.rank(s.r, map[string]bool{p.upstream.ID: true})).copyTo
+	return next, next.ID != ""
+}
+
+// callStop stops the run of an attempt. It returns an error that wraps errRunUnknown if the
+// engine answers and has no such run.
+func (g *Gateway) callStop(ctx context.Context, id string, at, to registry.Instance) (*upstream.Response, string, error) {
 	// Other open connections may be as dead as that of the run.
-	stop := controlCall{method: http.MethodPost, attemptID: s.r.ID, maxIdle: forceNewConnection}
-	stop.target, stop.body = s.g.o.Protocol.StopRequest(s.r.ID, to.Address)
+	stop := controlCall{method: http.MethodPost, attemptID: id, maxIdle: forceNewConnection}
+	stop.target, stop.body = g.o.Protocol.StopRequest(id, to.Address)
 	for {
-		resp, body, err := s.g.call(ctx, p.upstream, stop)
+		resp, body, err := g.call(ctx, at, stop)
 		if err == nil && resp.Status == http.StatusConflict && pause.For(ctx, stopRetryPause) {
 			continue
 		}
-		var handle string
-		if err == nil {
-			handle, err = s.g.o.Protocol.DecodeCopyHandle(body)
-		}
 		if err != nil {
-			s.g.o.Logger.Info("run not stopped", "id", s.r.ID, "upstream", p.upstream.ID, "cause", err)
-			return false
+			return nil, "", err
 		}
-		if resp.Status != http.StatusOK {
-			// The run was stopped and not copied; its engine kept the memory.
-			to = p.upstream
+		handle, err := g.o.Protocol.DecodeCopyHandle(body)
+		if err != nil {
+			return nil, "", eris.Wrapf(errRunUnknown, "status %d: %v", resp.Status, err)
 		}
-		s.g.o.Logger.Info("run stopped", "id", s.r.ID, "upstream", p.upstream.ID, "next", to.ID, "after", s.lastEventID)
-		p.copyTo, p.copyHandle = to, handle
-		return true
+		return resp, handle, nil
 	}
 }
 
--- /dev/null
+++ b/gateway/pursuit.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gooseberryroad/gooseberryroad/internal/pause"
+	"github.com/gooseberryroad/gooseberryroad/registry"
+	"github.com/gooseberryroad/gooseberryroad/upstream"
+)
+
+// errRunUnknown reports that an engine answered and does not run an attempt.
+var errRunUnknown = errors.New("engine does not run the attempt")
+
+const (
+	// pursuitTime is how long a run is tried to be stopped that its stream has left. A healthy
+	// engine may be silent for about a second.
+	pursuitTime = 3 * time.Second
+	// pursuitPause is the pause between two tries. Two engines may work on a stream for 400 ms
+	// once the first of them can be reached.
+	pursuitPause = 150 * time.Millisecond
+)
+
+// pursuit is a run that is being stopped in the background.
+type pursuit struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// pursue stops a run that its stream has left without the engine's answer. The engine may have
+// missed that the connection was closed, and may be reachable again in a moment.
+func (s *stream) pursue(p assignment) {
+	to, ok := s.stopTarget(p)
+	if !ok {
+		return
+	}
+	s.endPursuit(p.upstream)
+	ctx, cancel := context.WithTimeout(context.Background(), pursuitTime)
+	begun := pursuit{cancel: cancel, ended: make(chan struct{})}
+	if s.pursuits == nil {
+		s.pursuits = map[string]pursuit{}
+	}
+	s.pursuits[p.upstream.ID] = begun
+	go func() {
+		defer close(begun.ended)
+		defer cancel()
+		s.g.stopLeftRun(ctx, s.r, p.upstream, to)
+	}()
+}
+
+// endPursuit ends the tries to stop an earlier run of the stream at an engine, which would stop
+// the next run there.
+func (s *stream) endPursuit(at registry.Instance) {
+	if begun, ok := s.pursuits[at.ID]; ok {
+		begun.cancel()
+		<-begun.ended
+		delete(s.pursuits, at.ID)
+	}
+}
+
+// stopLeftRun stops a run until its engine answers, nothing listens there or ctx ends.
+func (g *Gateway) stopLeftRun(ctx context.Context, r *request, at, to registry.Instance) {
+	for {
+		try, cancel := context.WithTimeout(ctx, stopTimeout)
+		_, handle, err := g.callStop(try, r.ID, at, to)
+		cancel()
+		switch {
+		case err == nil:
+			g.o.Logger.Info("run stopped that its stream had left", "id", r.ID, "upstream", at.ID)
+			go g.freeCopy(r, at, handle)
+			return
+		case errors.Is(err, errRunUnknown), errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrConnectTimeout):
+			return
+		case !pause.For(ctx, pursuitPause):
+			g.o.Logger.Info("run not stopped that its stream had left", "id", r.ID, "upstream", at.ID, "cause", err)
+			return
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,6 +71,9 @@
 	search *headroomSearch
 	// retryAfter is when the client may come back; 0 is not known.
 	retryAfter time.Duration
+	// pursuits holds the runs that are being stopped in the background, by the ID of the
+	// upstream.
+	pursuits map[string]pursuit
 }
 
 // serveStream forwards the events of a stream as they arrive, and continues the
@@ -172,6 +175,7 @@
 // has its complete response.
 func (s *stream) run(ctx context.Context, p *assignment) failover.Step {
 	g := s.g
+	s.endPursuit(p.upstream)
 	began := time.Now()
 	s.attempts++
 	s.runs++
@@ -311,6 +315,8 @@
 		default:
 			if held && step != failover.StepGiveUp && s.stopRun(ctx, p) {
 				step = failover.StepRestore
+			} else {
+				s.pursue(*p)
 			}
 			s.recordLoss(*p, step, cause, began)
 			return step
@@ -378,6 +384,10 @@
 		s.g.deliver(s.w, s.r, p.upstream, m.failure)
 		return failover.StepWait
 	}
+	if m.verdict == verdictBroken && !errors.Is(m.err, errPauseAsked) {
+		// The connection may have ended on this side only.
+		s.pursue(p)
+	}
 	step := s.state.Lost()
 	s.recordLoss(p, step, m.err, began)
 	return step
