gateway, failover: stop a silent run whose client leaves

A client that leaves in the middle of a silence resumes its stream at another daemon. Its first daemon only closed the connection to the engine. If that connection is the cause of the silence, the engine does not notice, and works on beside the run of the resumed stream. A run that has been silent for as long as it takes to be probed is now also stopped over a new connection. Clients that leave between events cost no call.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -266,6 +266,16 @@
 	return StepWait
 }
 
+// Silent reports whether the current run has sent nothing for so long that its upstream is
+// probed.
+func (s *Stream) Silent(now time.Time) bool {
+	delay := s.o.FirstEventProbeDelay
+	if s.firstEventSeen {
+		delay = s.o.GapProbeDelay
+	}
+	return now.Sub(s.lastActivity) >= delay
+}
+
 // NextTick returns when Tick is due next.
 func (s *Stream) NextTick() time.Time {
 	limit := s.o.FirstEventTimeout
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -237,6 +237,18 @@
 		Expect(s.Lost()).To(Equal(failover.StepRestart))
 	})
 
+	// Guards against a run that is not stopped after its client left in the middle of a silence,
+	// and against a call for each client that leaves.
+	It("is silent once a probe is due, and not between events", func() {
+		Expect(s.Silent(now.Add(o.FirstEventProbeDelay - time.Millisecond))).To(BeFalse())
+		Expect(s.Silent(now.Add(o.FirstEventProbeDelay))).To(BeTrue())
+		event(time.Second)
+		Expect(s.Silent(now.Add(o.GapProbeDelay - time.Millisecond))).To(BeFalse())
+		Expect(waitForStep(time.Second)).To(Equal(failover.StepProbe))
+		Expect(s.Probed(failover.VerdictHolds, now)).To(Equal(failover.StepWait))
+		Expect(s.Silent(now)).To(BeTrue(), "an answer is no event")
+	})
+
 	// Guards against more runs than the route allows.
 	It("gives up after MaxRuns runs", func() {
 		for range o.MaxRuns - 1 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -306,6 +306,10 @@
 			step, cause = s.state.Tick(time.Now()), eris.New("no event within the time allowed")
 		case <-ctx.Done():
 			s.stopReason = "deadline"
+			if s.state.Silent(time.Now()) {
+				// The client may resume the stream at another daemon.
+				s.pursue(*p)
+			}
 			return failover.StepGiveUp
 		}
 		switch step {
