gateway: go on to stop a left run that its engine does not know yet

An engine lists a run from its first event on, and answers before that that it does not run it. A run whose connection broke on the daemon's side while it read its prompt was therefore not stopped, and the engine worked on beside the next one. A run that had no event is now asked for until it is known, for 3 s at most, with a pause of 250 ms.

--- a/gateway/pursuit.go
+++ b/gateway/pursuit.go
@@ -15,11 +15,11 @@
 
 const (
 	// pursuitTime is how long a run is tried to be stopped that its stream has left. A healthy
-	// engine may be silent for about a second.
+	// engine may be silent for about a second, and reads a long prompt in about a second.
 	pursuitTime = 3 * time.Second
 	// pursuitPause is the pause between two tries. Two engines may work on a stream for 400 ms
 	// once the first of them can be reached.
-	pursuitPause = 150 * time.Millisecond
+	pursuitPause = 250 * time.Millisecond
 )
 
 // pursuit is a run that is being stopped in the background.
@@ -42,10 +42,11 @@
 		s.pursuits = map[string]pursuit{}
 	}
 	s.pursuits[p.upstream.ID] = begun
+	listed := s.runEvents > 0
 	go func() {
 		defer close(begun.ended)
 		defer cancel()
-		s.g.stopLeftRun(ctx, s.r, p.upstream, to)
+		s.g.stopLeftRun(ctx, s.r, p.upstream, to, listed)
 	}()
 }
 
@@ -59,8 +60,10 @@
 	}
 }
 
-// stopLeftRun stops a run until its engine answers, nothing listens there or ctx ends.
-func (g *Gateway) stopLeftRun(ctx context.Context, r *request, at, to registry.Instance) {
+// stopLeftRun tries to stop a run until its engine answers, nothing listens there or ctx ends.
+// An engine does not know a run before its first event, so that it is asked again if the run
+// was not listed.
+func (g *Gateway) stopLeftRun(ctx context.Context, r *request, at, to registry.Instance, listed bool) {
 	for {
 		try, cancel := context.WithTimeout(ctx, stopTimeout)
 		_, handle, err := g.callStop(try, r.ID, at, to)
@@ -70,7 +73,7 @@
 			g.o.Logger.Info("run stopped that its stream had left", "id", r.ID, "upstream", at.ID)
 			go g.freeCopy(r, at, handle)
 			return
-		case errors.Is(err, errRunUnknown), errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrConnectTimeout):
+		case listed && errors.Is(err, errRunUnknown), errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrConnectTimeout):
 			return
 		case !pause.For(ctx, pursuitPause):
 			g.o.Logger.Info("run not stopped that its stream had left", "id", r.ID, "upstream", at.ID, "cause", err)
