failover, gateway: leave an engine that stands still only after a second

An engine whose process stands still for a moment accepts connections, as its kernel does, and answers nothing. A stream took the probe without an answer for a loss and went on elsewhere 370 ms after the last event. The engine could learn of that only when it went on, so that after a standstill of a second, which a healthy engine may have, its run ended 630 ms after the next one had begun. 400 ms are allowed.

A probe now tells an engine that cannot be reached from one that accepts a new connection and does not answer. The first is left at once, as before. The second is left when the silence has lasted a second. The price is a pause of 1.0 s, above the aim of 700 ms, where an engine stands still for longer.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -21,6 +21,9 @@
 	// GapTimeout is the silence between events after which the stream is moved,
 	// whatever the upstream answers.
 	GapTimeout time.Duration
+	// StandstillTimeout is how long an upstream that accepts connections and answers nothing
+	// keeps its stream.
+	StandstillTimeout time.Duration
 	// MaxReportAge is the maximum age of an upstream's report. A run whose first
 	// event is younger than that may be missing from the report.
 	MaxReportAge time.Duration
@@ -39,6 +42,7 @@
 		ProbeInterval:        300 * time.Millisecond,
 		FirstEventTimeout:    8 * time.Second,
 		GapTimeout:           3 * time.Second,
+		StandstillTimeout:    time.Second, // a healthy engine may stand still for about that long
 		MaxReportAge:         800 * time.Millisecond,
 		MaxRuns:              5,
 	}
@@ -48,7 +52,8 @@
 type Verdict int
 
 const (
-	// VerdictUnreachable means that the upstream did not answer in time.
+	// VerdictUnreachable means that no new connection to the upstream could be opened, or
+	// that it ended without an answer.
 	VerdictUnreachable Verdict = iota
 	// VerdictUnknown means that the answer does not show whether the upstream runs
 	// the stream.
@@ -60,6 +65,10 @@
 	VerdictLacks
 	// VerdictIdle means that the upstream runs nothing and nothing waits there.
 	VerdictIdle
+	// VerdictSilent means that the upstream accepted a new connection and did not answer in
+	// time. Its process may stand still for a moment, and has not noticed then that a connection
+	// was closed: a run there ends only when it goes on.
+	VerdictSilent
 )
 
 // Step is what the owner of a Stream does next.
@@ -82,7 +91,7 @@
 
 // String returns the name used in logs.
 func (v Verdict) String() string {
-	return [...]string{"unreachable", "unknown", "holds", "lacks", "idle"}[v]
+	return [...]string{"unreachable", "unknown", "holds", "lacks", "idle", "silent"}[v]
 }
 
 // String returns the name used in logs.
@@ -110,6 +119,8 @@
 	firstEventInterval time.Duration
 	// missing counts the probes in a row that showed events which have not arrived.
 	missing int
+	// silentSince is when the upstream may have begun to stand still; zero if it does not.
+	silentSince time.Time
 }
 
 // New returns the state of a stream that was not sent to an upstream yet.
@@ -121,7 +132,7 @@
 	s.runs++
 	s.hasCopy = copied
 	s.firstEventSeen = false
-	s.probeInFlight, s.missing = false, 0
+	s.probeInFlight, s.missing, s.silentSince = false, 0, time.Time{}
 	s.lastActivity = now
 	s.probeDue = now.Add(s.o.FirstEventProbeDelay)
 	s.firstEventInterval = 0
@@ -161,7 +172,7 @@
 		s.firstEventSeen, s.firstEventAt = true, now
 	}
 	s.lastActivity = now
-	s.probeInFlight, s.missing = false, 0
+	s.probeInFlight, s.missing, s.silentSince = false, 0, time.Time{}
 	s.probeDue = now.Add(s.o.GapProbeDelay)
 }
 
@@ -235,6 +246,10 @@
 		return StepWait
 	}
 	s.probeInFlight, s.missing = false, 0
+	if v == VerdictSilent {
+		return s.probedSilent(now)
+	}
+	s.silentSince = time.Time{}
 	listed := s.firstEventSeen && now.Sub(s.firstEventAt) >= s.o.MaxReportAge
 	gone := v == VerdictUnreachable || v == VerdictIdle || v == VerdictLacks && listed
 	if gone && s.runs < s.o.MaxRuns {
@@ -244,6 +259,25 @@
 	return StepWait
 }
 
+// probedSilent records that the upstream stands still. The last probe ends with
+// StandstillTimeout.
+func (s *Stream) probedSilent(now time.Time) Step {
+	if s.silentSince.IsZero() {
+		s.silentSince = now.Add(-s.o.ProbeTimeout)
+		if s.firstEventSeen {
+			s.silentSince = s.lastActivity
+		}
+	}
+	if now.Sub(s.silentSince) >= s.o.StandstillTimeout && s.runs < s.o.MaxRuns {
+		return s.Lost()
+	}
+	s.probeDue = now.Add(s.o.ProbeInterval)
+	if last := s.silentSince.Add(s.o.StandstillTimeout - s.o.ProbeTimeout); last.Before(s.probeDue) {
+		s.probeDue = last
+	}
+	return StepWait
+}
+
 // missingProbes is the number of probes in a row after which a connection counts as dead,
 // although the upstream can be reached over others: it has made events that do not arrive.
 // An upstream's report is some hundred milliseconds old, and a slow network delivers what is
@@ -257,7 +291,7 @@
 		// An event arrived after the probe was sent.
 		return StepWait
 	}
-	s.probeInFlight = false
+	s.probeInFlight, s.silentSince = false, time.Time{}
 	s.missing++
 	if s.missing >= missingProbes && s.runs < s.o.MaxRuns {
 		return s.Lost()
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -193,6 +193,44 @@
 		Expect(now.Sub(last)).To(BeNumerically("<=", 400*time.Millisecond))
 	})
 
+	// Guards against a second run beside that of an engine whose process stands still for a
+	// moment: it does not notice the end of its connection before it goes on.
+	DescribeTable("stays at an engine that stands still for a moment, and leaves it after a second",
+		func(events int, want failover.Step) {
+			for range events {
+				event(time.Second)
+			}
+			began := now
+			for {
+				Expect(waitForStep(2 * time.Second)).To(Equal(failover.StepProbe))
+				if events == 0 && began.Equal(start) {
+					began = now
+				}
+				now = now.Add(o.ProbeTimeout)
+				if step := s.Probed(failover.VerdictSilent, now); step != failover.StepWait {
+					Expect(step).To(Equal(want))
+					break
+				}
+			}
+			Expect(now.Sub(began)).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 1050*time.Millisecond)))
+		},
+		Entry("in the middle", 2, failover.StepRestore),
+		Entry("before the first event", 0, failover.StepRestart),
+	)
+
+	// Guards against standstills that are added up.
+	It("counts a standstill from the last answer", func() {
+		event(time.Second)
+		for range 3 {
+			for range 2 {
+				Expect(waitForStep(time.Second)).To(Equal(failover.StepProbe))
+				now = now.Add(o.ProbeTimeout)
+				Expect(s.Probed(failover.VerdictSilent, now)).To(Equal(failover.StepWait))
+			}
+			event(time.Millisecond)
+		}
+	})
+
 	// Guards against a second run beside one that is only slow.
 	It("stays at an engine that still lists the run", func() {
 		event(time.Second)
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -431,6 +432,9 @@
 // that of the call.
 func (g *Gateway) queryReport(ctx context.Context, in registry.Instance, id string, maxIdle time.Duration) (EngineReport, bool) {
 	body, header, err := g.askWithHeader(ctx, in, controlCall{method: http.MethodGet, target: g.o.Protocol.ReportTarget(), maxIdle: maxIdle})
+	if err != nil && ctx.Err() != nil && !errors.Is(err, upstream.ErrNotSent) {
+		return EngineReport{Verdict: failover.VerdictSilent}, false
+	}
 	if err != nil {
 		return EngineReport{Verdict: failover.VerdictUnreachable}, false
 	}
@@ -451,16 +455,17 @@
 
 // queryReportHedged asks an engine for its state, and once more over a new connection if it does
 // not answer soon: all open connections may be silent while the engine can be reached over
-// others. It returns the first report, or a verdict if there is none.
+// others. It returns the first report, or the verdict of the new connection if there is none.
 func (g *Gateway) queryReportHedged(ctx context.Context, in registry.Instance, id string) EngineReport {
 	type result struct {
 		report EngineReport
 		ok     bool
+		isNew  bool
 	}
 	results := make(chan result, 2)
 	ask := func(maxIdle time.Duration) {
 		report, ok := g.queryReport(ctx, in, id, maxIdle)
-		results <- result{report, ok}
+		results <- result{report, ok, maxIdle == forceNewConnection}
 	}
 	go ask(0)
 	hedge := time.NewTimer(time.Duration(probeHedgeShare * float64(g.o.Failover.ProbeTimeout)))
@@ -474,7 +479,7 @@
 			if res.ok {
 				return res.report
 			}
-			if res.report.Verdict != failover.VerdictUnreachable {
+			if undecoded := failover.VerdictUnknown; res.report.Verdict == undecoded || res.isNew && out.Verdict != undecoded {
 				out = res.report
 			}
 		case <-hedged:
