gateway: stop a left run also where all engines are in one data centre

Two engines worked on the same stream until its first run was complete.

Cause: the call that stops a run names the engine that gets its memory, which was chosen outside the data centre of the run. Where there is none, or all of them pause, no call was made, neither before the stream goes on nor in the background.

Evidence, before (TestPlatform, "in the only data centre"):

[FAILED] run 0 works on Expected <time.Time>: 0001-01-01T00:00:00Z not to be zero-valued

The best other engine is now named then. After: the spec passes with -race.

--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -168,7 +168,12 @@
 		return p.copyTo, true
 	}
 	// The run has to end before another one begins, also where a copy finds no room.
-	next := s.withAnyCopyTarget(assignment{upstream: p.upstream}, s.g.rank(s.r, map[string]bool{p.upstream.ID: true})).copyTo
+	ranked := s.g.rank(s.r, map[string]bool{p.upstream.ID: true})
+	next := s.withAnyCopyTarget(assignment{upstream: p.upstream}, ranked).copyTo
+	if next.ID == "" && s.copiesMemory() && len(ranked) > 0 {
+		// It has to end, too, where all other engines are in the same data centre or pause.
+		next = ranked[0].Instance
+	}
 	return next, next.ID != ""
 }
 
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -202,9 +202,14 @@
 	return s.withAnyCopyTarget(p, ranked)
 }
 
+// copiesMemory reports whether the engines of the stream copy the memory of its runs.
+func (s *stream) copiesMemory() bool {
+	return s.r.engine != nil && s.r.engine.Backups && s.r.route.Resumable
+}
+
 // withAnyCopyTarget does the same without regard to the room that a copy takes.
 func (s *stream) withAnyCopyTarget(p assignment, ranked []placement.Ranked) assignment {
-	if s.r.engine == nil || !s.r.engine.Backups || !s.r.route.Resumable {
+	if !s.copiesMemory() {
 		return p
 	}
 	for _, c := range ranked {
