gateway: end the stops of an attempt's earlier run before its next one

A stream that its client had resumed lost its engine after 0.6 s and got no event for a second, because its own run was stopped.

Cause: the background stop of a run names the client's attempt and goes to an address. A later run of the same attempt ended it only if it was of the same stream object and the engine had kept its ID. A client that resumes uses the same ID, and the engine with its prompt is preferred; an engine that has restarted has another ID at the same address.

Evidence, before (TestPlatform, "if its client resumes it there"): three runs instead of two, and

msg="run stopped that its stream had left" id=long upstream=e0 msg="upstream lost" id=long upstream=e0 events=60 after=80 run_time=641.191441ms next=restore copy=e2 cause="unexpected EOF"

The stops are now kept per daemon by attempt and address. A client that resumes through another daemon can still lose its run to them. After: the 7 specs of sidebyside_test.go, gateway and failover pass with -race.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,8 @@
 	// adopt is running.
 	adopted          registry.Takeovers
 	adoptionsRunning map[string]bool
+	// pursuits holds the runs that are being stopped in the background.
+	pursuits map[pursuitKey]pursuit
 }
 
 // New returns a gateway that has no view of the directory yet.
@@ -93,7 +95,7 @@
 		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes, headLimit: o.MaxHeldHeadBytes},
 		crashes:     quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
 		partCrashes: quarantine.NewPartLog(quarantine.PartLogOptions{}), partReportRevisions: map[string]uint64{},
-		adoptionsRunning: map[string]bool{}, usualLatency: map[string]time.Duration{},
+		adoptionsRunning: map[string]bool{}, pursuits: map[pursuitKey]pursuit{}, usualLatency: map[string]time.Duration{},
 	}
 }
 
--- a/gateway/pursuit.go
+++ b/gateway/pursuit.go
@@ -28,6 +28,11 @@
 	ended  chan struct{}
 }
 
+// pursuitKey identifies a run by what the call that stops it names: the client's attempt and the
+// address of the engine. A client resumes its stream under the same ID, and an engine that has
+// restarted has another ID at the same address.
+type pursuitKey struct{ attempt, address string }
+
 // pursue stops a run that its stream has left without the engine's answer. The engine may have
 // missed that the connection was closed, and may be reachable again in a moment.
 func (s *stream) pursue(p assignment) {
@@ -35,28 +40,36 @@
 	if !ok {
 		return
 	}
-	s.endPursuit(p.upstream)
+	g, id := s.g, s.r.ID
+	key := pursuitKey{id, p.upstream.Address}
+	g.endPursuit(key)
 	ctx, cancel := context.WithTimeout(context.Background(), pursuitTime)
 	begun := pursuit{cancel: cancel, ended: make(chan struct{})}
-	if s.pursuits == nil {
-		s.pursuits = map[string]pursuit{}
-	}
-	s.pursuits[p.upstream.ID] = begun
 	listed := s.runEvents > 0
+	g.mu.Lock()
+	g.pursuits[key] = begun
+	g.mu.Unlock()
 	go func() {
 		defer close(begun.ended)
 		defer cancel()
-		s.g.stopLeftRun(ctx, s.r, p.upstream, to, listed)
+		g.stopLeftRun(ctx, s.r, p.upstream, to, listed)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.pursuits[key].ended == begun.ended {
+			delete(g.pursuits, key)
+		}
 	}()
 }
 
-// endPursuit ends the tries to stop an earlier run of the stream at an engine, which would stop
-// the next run there.
-func (s *stream) endPursuit(at registry.Instance) {
-	if begun, ok := s.pursuits[at.ID]; ok {
+// endPursuit ends the tries to stop an earlier run at an engine, which would stop the next run
+// of the same attempt there.
+func (g *Gateway) endPursuit(key pursuitKey) {
+	g.mu.Lock()
+	begun, ok := g.pursuits[key]
+	g.mu.Unlock()
+	if ok {
 		begun.cancel()
 		<-begun.ended
-		delete(s.pursuits, at.ID)
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,9 +71,6 @@
 	search *headroomSearch
 	// retryAfter is when the client may come back; 0 is not known.
 	retryAfter time.Duration
-	// pursuits holds the runs that are being stopped in the background, by the ID of the
-	// upstream.
-	pursuits map[string]pursuit
 }
 
 // serveStream forwards the events of a stream as they arrive, and continues the
@@ -175,7 +172,7 @@
 // has its complete response.
 func (s *stream) run(ctx context.Context, p *assignment) failover.Step {
 	g := s.g
-	s.endPursuit(p.upstream)
+	g.endPursuit(pursuitKey{s.r.ID, p.upstream.Address})
 	began := time.Now()
 	s.attempts++
 	s.runs++
