gateway: keep no request for the stop of a left run

The body of a request stayed in memory for up to 4 s after its stream had ended, without being counted by the limit of held bodies, because the background stop of its run referred to the request. Only its ID is used. Found by reading; gateway passes with -race.

--- a/gateway/copier.go
+++ b/gateway/copier.go
@@ -104,14 +104,14 @@
 	if p.copyHandle == "" {
 		return
 	}
-	go c.s.g.freeCopy(c.s.r, p.upstream, p.copyHandle)
+	go c.s.g.freeCopy(c.s.r.ID, p.upstream, p.copyHandle)
 }
 
-func (g *Gateway) freeCopy(r *request, at registry.Instance, handle string) {
+func (g *Gateway) freeCopy(id string, at registry.Instance, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
-	if _, err := g.ask(ctx, at, controlCall{method: http.MethodDelete, target: g.o.Protocol.FreeCopyTarget(handle), attemptID: r.ID}); err != nil {
-		g.o.Logger.Info("copy not freed; the engine will drop it by itself", "id", r.ID, "upstream", at.ID, "cause", err)
+	if _, err := g.ask(ctx, at, controlCall{method: http.MethodDelete, target: g.o.Protocol.FreeCopyTarget(handle), attemptID: id}); err != nil {
+		g.o.Logger.Info("copy not freed; the engine will drop it by itself", "id", id, "upstream", at.ID, "cause", err)
 	}
 }
 
--- a/gateway/pursuit.go
+++ b/gateway/pursuit.go
@@ -52,7 +52,7 @@
 	go func() {
 		defer close(begun.ended)
 		defer cancel()
-		g.stopLeftRun(ctx, s.r, p.upstream, to, listed)
+		g.stopLeftRun(ctx, id, p.upstream, to, listed)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.pursuits[key].ended == begun.ended {
@@ -76,20 +76,20 @@
 // stopLeftRun tries to stop a run until its engine answers, nothing listens there or ctx ends.
 // An engine does not know a run before its first event, so that it is asked again if the run
 // was not listed.
-func (g *Gateway) stopLeftRun(ctx context.Context, r *request, at, to registry.Instance, listed bool) {
+func (g *Gateway) stopLeftRun(ctx context.Context, id string, at, to registry.Instance, listed bool) {
 	for {
 		try, cancel := context.WithTimeout(ctx, stopTimeout)
-		_, handle, err := g.callStop(try, r.ID, at, to)
+		_, handle, err := g.callStop(try, id, at, to)
 		cancel()
 		switch {
 		case err == nil:
-			g.o.Logger.Info("run stopped that its stream had left", "id", r.ID, "upstream", at.ID)
-			go g.freeCopy(r, at, handle)
+			g.o.Logger.Info("run stopped that its stream had left", "id", id, "upstream", at.ID)
+			go g.freeCopy(id, at, handle)
 			return
 		case listed && errors.Is(err, errRunUnknown), errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrConnectTimeout):
 			return
 		case !pause.For(ctx, pursuitPause):
-			g.o.Logger.Info("run not stopped that its stream had left", "id", r.ID, "upstream", at.ID, "cause", err)
+			g.o.Logger.Info("run not stopped that its stream had left", "id", id, "upstream", at.ID, "cause", err)
 			return
 		}
 	}
