gateway: stop a run whose client left only for 400 ms

A stream that its client resumed through another daemon lost its engine and moved again: the daemon that the client had left stopped the run that the other one had begun at the same engine, as the call names only the client's attempt.

The tries to stop a run whose client has left now end after 400 ms, which is how long two engines may work on a stream. A client that resumes at once can still lose a run to them; the stream then goes on elsewhere.

--- a/gateway/pursuit.go
+++ b/gateway/pursuit.go
@@ -17,6 +17,9 @@
 	// pursuitTime is how long a run is tried to be stopped that its stream has left. A healthy
 	// engine may be silent for about a second, and reads a long prompt in about a second.
 	pursuitTime = 3 * time.Second
+	// abandonedStopTime is the same for a run whose client has left. The client may resume its
+	// stream through another daemon under the same ID, and the call would stop that run.
+	abandonedStopTime = 400 * time.Millisecond
 	// pursuitPause is the pause between two tries. Two engines may work on a stream for 400 ms
 	// once the first of them can be reached.
 	pursuitPause = 250 * time.Millisecond
@@ -34,8 +37,9 @@
 type pursuitKey struct{ attempt, address string }
 
 // pursue stops a run that its stream has left without the engine's answer. The engine may have
-// missed that the connection was closed, and may be reachable again in a moment.
-func (s *stream) pursue(p assignment) {
+// missed that the connection was closed, and may be reachable again in a moment: it is tried for
+// the time limit.
+func (s *stream) pursue(p assignment, limit time.Duration) {
 	to, ok := s.stopTarget(p)
 	if !ok {
 		return
@@ -43,7 +47,7 @@
 	g, id := s.g, s.r.ID
 	key := pursuitKey{id, p.upstream.Address}
 	g.endPursuit(key)
-	ctx, cancel := context.WithTimeout(context.Background(), pursuitTime)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	begun := pursuit{cancel: cancel, ended: make(chan struct{})}
 	listed := s.runEvents > 0
 	g.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -305,7 +305,7 @@
 			s.stopReason = "deadline"
 			if s.state.Silent(time.Now()) {
 				// The client may resume the stream at another daemon.
-				s.pursue(*p)
+				s.pursue(*p, abandonedStopTime)
 			}
 			return failover.StepGiveUp
 		}
@@ -317,7 +317,7 @@
 			if held && step != failover.StepGiveUp && s.stopRun(ctx, p) {
 				step = failover.StepRestore
 			} else {
-				s.pursue(*p)
+				s.pursue(*p, pursuitTime)
 			}
 			s.recordLoss(*p, step, cause, began)
 			return step
@@ -387,7 +387,7 @@
 	}
 	if m.verdict == verdictBroken && !errors.Is(m.err, errPauseAsked) {
 		// The connection may have ended on this side only.
-		s.pursue(p)
+		s.pursue(p, pursuitTime)
 	}
 	step := s.state.Lost()
 	s.recordLoss(p, step, m.err, began)
