gateway: forward requests of a daemon that reaches no upstream

Cause: a daemon knew one way to an upstream, its own connections. The store and the balancer reached these daemons, so they stayed in rotation.

A cut-off daemon now forwards a request that no upstream can have read to a daemon that reaches the service's upstreams. Package forwarding decides, from the outcomes of the daemon's own connections and what the others say when they are asked. That tells a cut from upstreams that are down for all: then no daemon says that it reaches them, and everything is as before. The other daemon serves the request on its relay listener with the handler of its own clients; a mark prevents that it is forwarded again.

Limits: a forwarded request takes the place of a client's connection and is in the account of memory at both daemons; it counts once for the retry budget. Deployments without a relay address are served as before.

The new tests cut a daemon off with edge.Options.DialUpstream.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -67,6 +67,9 @@
 	// DutyStore and Cloud are needed if the settings have duties.
 	DutyStore DutyStore
 	Cloud     Cloud
+	// DialUpstream opens connections to upstreams; nil is an ordinary connection. Tests cut
+	// a daemon off with it.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Edge is one gateway process.
@@ -106,7 +109,11 @@
 	return e, eris.Wrap(e.app.Err(), "assemble the gateway process")
 }
 
-func newPool() *upstream.Pool { return upstream.NewPool(upstream.DefaultOptions()) }
+func newPool(o Options) *upstream.Pool {
+	options := upstream.DefaultOptions()
+	options.Dial = o.DialUpstream
+	return upstream.NewPool(options)
+}
 
 func newFollower(o Options) *directory.Follower {
 	log := telemetry.WithPart(o.Logger, "directory")
@@ -154,6 +161,7 @@
 		Budget:           o.Settings.budget(),
 		MaxHeldBodyBytes: int64(bodyMemoryShare * float64(o.Settings.MemoryMB<<20)),
 		MaxHeldHeadBytes: int64(headMemoryShare * float64(o.Settings.MemoryMB<<20)),
+		Forward:          newForward(o),
 	})
 	f.SetOnView(g.OnView)
 	if o.Settings.Duties.Scaling {
@@ -244,13 +252,14 @@
 	log := telemetry.WithPart(e.o.Logger, "relay")
 	mux := http.NewServeMux()
 	mux.Handle("/", relay.Handler(e.follower.Content, log))
+	mux.Handle(relay.ReachPath, relay.ReachHandler(e.gateway.Reach, log))
 	if e.o.Settings.Duties.Usage {
 		mux.Handle(relay.UsagePath, relay.UsageHandler(e.duties.Merge, log))
 	}
 	if e.o.Settings.Duties.Scaling {
 		mux.Handle(relay.DemandPath, relay.DemandHandler(e.duties.MergeDemand, log))
 	}
-	return mux
+	return forwardedFirst(e.gateway.ForwardedHandler(e.connections), mux)
 }
 
 func (e *Edge) metricsAddress() string {
@@ -277,6 +286,7 @@
 			return
 		case now := <-t.C:
 			e.pool.Sweep(now)
+			e.gateway.SweepForward(now)
 		}
 	}
 }
@@ -314,6 +324,7 @@
 		pause.For(ctx, drainPollInterval)
 	}
 	err := e.closeConnections(ctx, plan, closes)
+	e.awaitForwarded(ctx, plan)
 	<-released
 	if e.duties != nil {
 		e.duties.sendLastCounts(ctx, plan)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,12 +76,17 @@
 	// adopt is running.
 	adopted          registry.Takeovers
 	adoptionsRunning map[string]bool
+
+	// forwarder is nil if requests are not forwarded to other daemons.
+	forwarder *forwarder
+	// runningForwarded is the number of requests of other daemons that are being served.
+	runningForwarded atomic.Int64
 }
 
 // New returns a gateway that has no view of the directory yet.
 func New(o Options) *Gateway {
 	stopEnds, endOfStop := context.WithCancel(context.Background())
-	return &Gateway{
+	g := &Gateway{
 		o: o, started: time.Now(), rnd: o.Rand, stopEnds: stopEnds, endOfStop: endOfStop,
 		tracker:  placement.NewTracker(o.DataCentre, o.Rand),
 		headroom: headroom.NewTracker(), pacedAt: map[string]time.Time{}, lines: map[string]*headroom.Line{},
@@ -95,6 +100,10 @@
 		partCrashes: quarantine.NewPartLog(quarantine.PartLogOptions{}), partReportRevisions: map[string]uint64{},
 		adoptionsRunning: map[string]bool{}, usualLatency: map[string]time.Duration{},
 	}
+	if o.Forward != nil {
+		g.forwarder = newForwarder(g, *o.Forward)
+	}
+	return g
 }
 
 // Memory returns the account of what is held for clients.
@@ -143,6 +152,7 @@
 // OnView updates the gateway from a new view: the registered upstreams, the
 // cutover orders and the crash counts of other daemons.
 func (g *Gateway) OnView(v *directory.View) {
+	g.forwarder.onView(v)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.SetRegistered(v.All)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -56,6 +56,10 @@
 	reported bool
 	// sized says that the request counts for the number of replicas of its service.
 	sized bool
+	// begun says that the request was counted for the retry budget.
+	begun bool
+	// forwardAgainAt is when the request may be offered to other daemons again.
+	forwardAgainAt time.Time
 }
 
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
@@ -72,9 +76,21 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	// Only other daemons forward requests.
+	hr.Header.Del(forwardHeader)
+	g.serve(w, hr, nil)
+}
+
+// serve serves a request of a client, or one that another daemon forwards.
+func (g *Gateway) serve(w http.ResponseWriter, hr *http.Request, f *forwardMark) {
 	arrived := time.Now()
+	original := g.originalHeader(hr, f)
 	call := g.o.Protocol.DecodeRequest(hr)
 	call.connection = clientconn.FromContext(hr.Context())
+	call.original, call.forwarded = original, f
+	if f != nil {
+		call.Timeout = f.timeLeft
+	}
 	plan := g.drainPlan.Load()
 	view := g.o.Directory.View()
 	if !view.Ready && plan == nil {
@@ -86,7 +102,9 @@
 		refusal = r.admitWhileDraining(plan, g.usualTime(r.route), arrived)
 	}
 	if refusal == nil {
-		g.countDemand(r)
+		if f == nil {
+			g.countDemand(r)
+		}
 		var held int64
 		held, refusal = g.readBody(w, hr, view.Table, r)
 		defer g.heldBodies.release(held)
@@ -94,7 +112,7 @@
 	if refusal == nil {
 		refusal = g.refuseQuarantined(r)
 	}
-	if refusal == nil {
+	if refusal == nil && !g.cutOff(r) {
 		refusal = g.shed(r, view.Table)
 	}
 	if refusal != nil {
@@ -102,8 +120,6 @@
 		g.logRefusal(&call, r, *refusal)
 		return
 	}
-	g.countRequest(r.service)
-	g.chooseVersion(r)
 	ctx, cancel := context.WithDeadline(hr.Context(), r.deadline)
 	defer cancel()
 	ctx, span := tracer.Start(ctx, "gateway.request", trace.WithAttributes(
@@ -121,6 +137,20 @@
 	g.serveBuffered(ctx, w, r)
 }
 
+// begin counts a request that this daemon is about to send to upstreams itself, and chooses
+// its version. A forwarded request is counted by one daemon only: the retry budget is a part of
+// the fleet's requests.
+func (g *Gateway) begin(r *request) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	if r.forwarded == nil || !r.forwarded.counted {
+		g.countRequest(r.service)
+	}
+	g.chooseVersion(r)
+}
+
 // reportBegan reports that an upstream began a request of a client account.
 func (g *Gateway) reportBegan(r *request, at time.Time) {
 	if g.o.OnBegan == nil || r.account == "" || r.reported {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,8 @@
 	outcomeRefused    = "refused"
 	outcomeCut        = "cut"
 	outcomeClientLeft = "client_left"
+	// outcomeForwarded is that of requests that another daemon answered.
+	outcomeForwarded = "forwarded"
 )
 
 var (
@@ -28,6 +30,10 @@
 	// limitedUpstreams is the number of upstreams that name a limit.
 	limitedUpstreams = metrics.NewGauge("gooseberryroad_gateway_limited_upstreams", nil)
 	streamGapTime    = metrics.NewHistogram("gooseberryroad_gateway_stream_max_gap_seconds")
+	// receivedForwarded counts the requests that other daemons forwarded to this one.
+	receivedForwarded = metrics.NewCounter("gooseberryroad_gateway_forwarded_received_total")
+	// cutOffServices is the number of services whose requests go through other daemons.
+	cutOffServices = metrics.NewGauge("gooseberryroad_gateway_cut_off_services", nil)
 )
 
 func histograms(name string) map[routes.Kind]*metrics.Histogram {
@@ -58,6 +64,11 @@
 	metrics.GetOrCreateCounter(`gooseberryroad_gateway_attempts_total{verdict="` + v.String() + `"}`).Inc()
 }
 
+// countForwarded counts the requests that were forwarded to another daemon.
+func countForwarded(v forwardVerdict) {
+	metrics.GetOrCreateCounter(`gooseberryroad_gateway_forwarded_total{verdict="` + v.String() + `"}`).Inc()
+}
+
 // countStreamMove counts the streams that lost their upstream by the step that
 // follows.
 func countStreamMove(step string) {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -76,4 +76,7 @@
 	// MaxHeldHeadBytes bounds the total size of the heads of requests that have not arrived
 	// completely; 0 is no limit.
 	MaxHeldHeadBytes int64
+	// Forward lets requests go through other daemons while this one reaches no upstream; nil
+	// if the deployment's daemons have no addresses for each other.
+	Forward *ForwardOptions
 }
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -42,6 +42,11 @@
 	Body   []byte
 	// connection is nil if it is not known.
 	connection *clientconn.Conn
+	// original is the header as it arrived, for another daemon; nil if requests are not
+	// forwarded.
+	original http.Header
+	// forwarded is set for a request that another daemon forwards.
+	forwarded *forwardMark
 }
 
 // Attempt is what one upstream is told in addition to the client's own header.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -50,6 +50,9 @@
 	g.o.Protocol.SetErrorHeader(h, call.ID, r.retryAfter)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	g.closeConnectionIfDraining(call, h)
+	if fw, ok := w.(*forwardedWriter); ok {
+		fw.refusalCode = r.code
+	}
 	w.WriteHeader(r.status)
 	if _, err := w.Write(body); err != nil {
 		g.o.Logger.Info("refusal not delivered", "id", call.ID, "cause", err)
--- a/gateway/scout.go
+++ b/gateway/scout.go
@@ -56,6 +56,10 @@
 			s.stopReason = "deadline"
 			return assignment{}, false
 		}
+		if s.forwardOrRefuse(ctx, false) {
+			return assignment{}, false
+		}
+		s.g.begin(s.r)
 		if len(s.candidates()) > 0 {
 			if s.attemptTracker.TakePause() {
 				pause.For(ctx, initialRetryPause)
@@ -96,6 +100,9 @@
 				return s.withCopyTarget(assignment{upstream: in}, s.candidates()), true
 			}
 		}
+		if len(ranked) == 0 && s.forwardOrRefuse(ctx, true) {
+			return assignment{}, false
+		}
 		if !s.headSent.Load() && s.runs == 0 {
 			if s.stopReason, s.retryAfter = s.g.refuseIfAllWithdrawn(s.r, now.Add(delay), giveUpAt); s.stopReason != "" {
 				return assignment{}, false
@@ -410,6 +417,7 @@
 			return id == "" || id == c.attemptID
 		},
 	})
+	g.recordReach(ctx, in, err, false)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,6 +71,8 @@
 	search *headroomSearch
 	// retryAfter is when the client may come back; 0 is not known.
 	retryAfter time.Duration
+	// forwarded is set once the client has the complete response of another daemon.
+	forwarded bool
 }
 
 // serveStream forwards the events of a stream as they arrive, and continues the
@@ -115,6 +117,9 @@
 			ok = false
 		}
 	}
+	if s.forwarded {
+		return
+	}
 	s.fail(ctx)
 }
 
@@ -436,6 +441,7 @@
 	}
 	sentAt := time.Now()
 	resp, err := s.g.o.Pool.Do(ctx, s.g.upstreamRequest(s.r, a))
+	s.g.recordReach(ctx, p.upstream, err, true)
 	if err != nil {
 		send(runMessage{end: true, verdict: verdictOfError(ctx, err), err: err})
 		return
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -88,6 +88,8 @@
 		}
 	}
 	switch {
+	case t.forwardedResponse != nil:
+		g.deliverForwarded(w, r, t.forwardedResponse)
 	case ctx.Err() != nil && t.failedResponse == nil && errors.Is(context.Cause(ctx), context.Canceled):
 		countRequestEnd(r, outcomeClientLeft)
 		g.o.Logger.Info("client left", "id", r.ID, "route", r.route.Name, "took", time.Since(r.arrivedAt), "runs", t.runs)
@@ -123,6 +125,8 @@
 	failedUpstream registry.Instance
 	// failedSentAt is when the request was sent to failedUpstream.
 	failedSentAt time.Time
+	// forwardedResponse is the response of another daemon that took the request.
+	forwardedResponse *forwardedResponse
 }
 
 // next returns the upstream for the next attempt, or false if the request must
@@ -142,6 +146,10 @@
 			t.stopReason = "deadline"
 			return registry.Instance{}, false
 		}
+		if t.runs == 0 && !t.turnedAway && t.forwardOrRefuse(ctx, false) {
+			return registry.Instance{}, false
+		}
+		t.g.begin(t.r)
 		ranked := t.g.rank(t.r, t.excluded)
 		if t.runs == 0 {
 			var giveUp bool
@@ -177,6 +185,9 @@
 			if t.stopReason, t.retryAfter = t.g.refuseIfAllWithdrawn(t.r, now.Add(t.pause), t.giveUpAt()); t.stopReason != "" {
 				return registry.Instance{}, false
 			}
+			if !t.turnedAway && t.forwardOrRefuse(ctx, true) {
+				return registry.Instance{}, false
+			}
 		}
 		if t.runs > 0 || !now.Add(t.pause).Before(t.giveUpAt()) {
 			t.stopReason = "no_upstream"
@@ -306,6 +317,7 @@
 	defer g.withTracker(func(b *placement.Tracker) { b.End(in.ID) })
 	req := g.upstreamRequest(r, Attempt{Call: r.Call, Instance: in, Account: r.account, TimeLeft: r.timeLeft(began), LastEventID: r.LastEventID})
 	resp, err := g.o.Pool.Do(ctx, req)
+	g.recordReach(ctx, in, err, true)
 	if err != nil {
 		return nil, verdictOfError(ctx, err), err
 	}
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -36,6 +36,8 @@
 	stopping bool
 	// limits is nil if connections are not limited.
 	limits *limiter
+	// occupied is the number of places that Occupy took.
+	occupied int
 }
 
 // NewTracker returns a tracker without connections.
--- a/internal/clientconn/limits.go
+++ b/internal/clientconn/limits.go
@@ -108,7 +108,7 @@
 }
 
 // record counts a connection that a limit closed, and logs it at most once in logInterval.
-func (l *limiter) record(name limitName, client net.Addr) {
+func (l *limiter) record(name limitName, client string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("gooseberryroad_client_limits_total{limit=%q}", string(name))).Inc()
 	l.mu.Lock()
 	l.closed[name]++
@@ -119,7 +119,7 @@
 	}
 	l.mu.Unlock()
 	if due {
-		l.log.Warn("connections of clients closed at a limit", "limit", string(name), "connections", count, "client", client.String())
+		l.log.Warn("connections of clients closed at a limit", "limit", string(name), "connections", count, "client", client)
 	}
 }
 
@@ -191,20 +191,51 @@
 func (t *Tracker) admit(c *Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l := t.limits; l != nil && l.MaxConnections > 0 && len(t.open) >= l.MaxConnections {
-		victim := t.closeUnneeded()
-		if victim == nil {
-			l.record(limitConnections, c.RemoteAddr())
-			return false
-		}
-		t.remove(victim)
-		l.record(limitConnections, victim.RemoteAddr())
+	if !t.makeRoom(c.RemoteAddr().String()) {
+		return false
 	}
 	t.open[c] = struct{}{}
 	openConnections.Inc()
 	return true
 }
 
+// makeRoom makes room for one more connection from the given client, and returns false if
+// there is none. t.mu must be held.
+func (t *Tracker) makeRoom(from string) bool {
+	l := t.limits
+	if l == nil || l.MaxConnections <= 0 || len(t.open)+t.occupied < l.MaxConnections {
+		return true
+	}
+	victim := t.closeUnneeded()
+	if victim == nil {
+		l.record(limitConnections, from)
+		return false
+	}
+	t.remove(victim)
+	l.record(limitConnections, victim.RemoteAddr().String())
+	return true
+}
+
+// Occupy takes the place of a connection for a request that another daemon forwards, which
+// needs as much memory and as many descriptors. It returns false if all connections have
+// requests. The caller must call Vacate when the request has ended.
+func (t *Tracker) Occupy() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.makeRoom("another daemon") {
+		return false
+	}
+	t.occupied++
+	return true
+}
+
+// Vacate gives back a place that Occupy took.
+func (t *Tracker) Vacate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.occupied--
+}
+
 // remove forgets a connection. t.mu must be held.
 func (t *Tracker) remove(c *Conn) {
 	if _, ok := t.open[c]; ok {
@@ -281,7 +312,7 @@
 	}
 	c.mu.Unlock()
 	if closes {
-		c.limits.record(name, c.RemoteAddr())
+		c.limits.record(name, c.RemoteAddr().String())
 	}
 }
 
@@ -465,7 +496,7 @@
 	if c.closedBy == "" && !c.headBegan.IsZero() && time.Since(c.headBegan) >= c.limits.HeadTimeout {
 		c.closedBy = limitHeadTime
 		c.recorded = true
-		c.limits.record(limitHeadTime, c.RemoteAddr())
+		c.limits.record(limitHeadTime, c.RemoteAddr().String())
 	}
 }
 
@@ -482,7 +513,7 @@
 	if !first {
 		return
 	}
-	c.limits.record(name, c.RemoteAddr())
+	c.limits.record(name, c.RemoteAddr().String())
 	text := fmt.Sprintf("%d %s", status, http.StatusText(status))
 	head := "HTTP/1.1 " + text + "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"
 	if status == http.StatusServiceUnavailable {
--- a/internal/clientconn/limits_test.go
+++ b/internal/clientconn/limits_test.go
@@ -358,6 +358,23 @@
 		Expect(s.logs.String()).To(ContainSubstring("limit=connections"))
 	})
 
+	// Guards against more requests, of clients and of other daemons together, than the process
+	// has memory and descriptors for.
+	It("share their places with the requests of other daemons", func() {
+		limits := testLimits()
+		limits.MaxConnections = 2
+		s := newLimitedServer(limits)
+		idle := s.dial()
+		Expect(exchange(idle, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")).To(Equal("200 /x"))
+		Expect(s.tracker.Occupy()).To(BeTrue())
+		Eventually(s.tracker.Occupy, "5s").Should(BeTrue(), "an idle connection makes room")
+		Expect(isClosed(idle)).To(BeTrue())
+		Expect(s.tracker.Occupy()).To(BeFalse())
+		Expect(isClosed(s.dial())).To(BeTrue())
+		s.tracker.Vacate()
+		Expect(exchange(s.dial(), "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")).To(Equal("200 /x"))
+	})
+
 	It("log at most one line a second for each limit", func() {
 		limits := testLimits()
 		limits.MaxConnections = 1
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -21,6 +21,8 @@
 	// IdleMargin is subtracted from the idle time that an upstream states, so that
 	// no request is sent while the upstream closes the connection.
 	IdleMargin time.Duration
+	// Dial opens connections instead of a net.Dialer; it must keep to DialTimeout.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // DefaultOptions returns options for upstreams a few milliseconds away.
@@ -60,14 +62,21 @@
 		}
 		c.close()
 	}
-	d := net.Dialer{Timeout: p.o.DialTimeout}
-	nc, err := d.DialContext(ctx, "tcp4", addr)
+	nc, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(nc, addr), nil
 }
 
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if p.o.Dial != nil {
+		return p.o.Dial(ctx, addr)
+	}
+	d := net.Dialer{Timeout: p.o.DialTimeout}
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
