gateway: count no crashes of upstreams while none responds

In a trial with nine daemons, five of them cut off from all upstreams by connections that are opened and then reset, callers of all daemons, also of those that were not cut off, got 503 quarantined: from 3 s on 20 of 100 were served at the others and 0 of 125 at the cut-off ones.

Cause: a request that breaks off at its beginning, at an upstream that then gives no response on a new connection, counts as a crash by the request's content. A daemon that is cut off sees the same at each upstream, and the counts of all daemons add up through the store. The check for upstreams that fail together does not apply before the second failure in a data centre.

A crash counts now only if another upstream has responded since the run began, or one of three that are asked responds within 60 ms. Deployments whose daemons have no relay address keep the rule of before, as nothing records there which upstreams respond.

--- a/forwarding/forwarding_test.go
+++ b/forwarding/forwarding_test.go
@@ -210,6 +210,18 @@
 	}
 }
 
+// Guards against crashes that a daemon counts although it is cut off.
+func TestReachedSince(t *testing.T) {
+	r := NewReach()
+	if r.ReachedSince(start) {
+		t.Error("nothing has responded")
+	}
+	r.Reached("s", "a", at(time.Millisecond))
+	if !r.ReachedSince(start) || r.ReachedSince(at(time.Millisecond)) {
+		t.Error("the time of the response is not compared")
+	}
+}
+
 // Guards against a status that another daemon reads wrongly.
 func TestStatusNames(t *testing.T) {
 	for _, s := range []Status{Unknown, Reached, Failing} {
--- a/forwarding/reach.go
+++ b/forwarding/reach.go
@@ -149,6 +149,9 @@
 	return o.cutOff(max(1, min(minFailed, registered)), minSilence, now)
 }
 
+// ReachedSince reports whether any upstream has responded after the given time.
+func (r *Reach) ReachedSince(at time.Time) bool { return r.all.reachedAt.After(at) }
+
 // NoneConnects reports whether no connection to any of a service's upstreams could be opened
 // lately. Then a request that finds no open connection may be forwarded, even if requests on
 // open connections still get responses.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -92,6 +92,10 @@
 	if !g.crashed(ctx, r, in) {
 		return
 	}
+	if !g.reachesOthers(in, began) {
+		g.o.Logger.Info("crash of an upstream not counted, as no other one responds", "id", r.ID, "upstream", in.ID)
+		return
+	}
 	now := time.Now()
 	g.mu.Lock()
 	g.partCrashes.Crashed(in.ID, r.sharedParts(), now)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -325,7 +325,7 @@
 		}
 		all := f.g.o.Directory.View().Upstreams[service]
 		if len(all) > 0 {
-			f.g.probeReach(all[i%len(all)])
+			f.g.probeReach(all[i%len(all)], reachProbeTimeout)
 		}
 		if f.endCut(service, c, all) {
 			return
@@ -353,9 +353,10 @@
 	return true
 }
 
-// probeReach opens a connection to an upstream and asks it for its state.
-func (g *Gateway) probeReach(in registry.Instance) {
-	ctx, cancel := context.WithTimeout(context.Background(), reachProbeTimeout)
+// probeReach opens a connection to an upstream, asks it for its state and reports whether it
+// responds in time.
+func (g *Gateway) probeReach(in registry.Instance, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	target := g.o.Protocol.ReportTarget()
 	if service, ok := g.o.Directory.View().Table.Service(in.Service); ok && service.Engine == nil {
@@ -366,12 +367,53 @@
 	})
 	g.recordReach(ctx, in, err, false)
 	if err != nil {
-		return
+		return false
 	}
 	resp.Body.Close()
 	if g.answeredBy(in, resp.Header) {
 		g.recordNotices(in, g.o.Protocol.DecodeResponseHead(resp.Status, resp.Header), "", time.Time{})
 	}
+	return true
+}
+
+// maxOthersAsked bounds the upstreams that are asked whether it is this daemon that is cut off.
+const maxOthersAsked = 3
+
+// reachesOthers reports whether another upstream has responded since the given time, or
+// responds now. If none does, this daemon may be cut off, and cannot tell whether an upstream
+// crashed. It is true if there is no other, and in deployments that do not forward requests.
+func (g *Gateway) reachesOthers(than registry.Instance, since time.Time) bool {
+	f := g.forwarder
+	if f == nil {
+		return true
+	}
+	f.mu.Lock()
+	reached := f.reach.ReachedSince(since)
+	f.mu.Unlock()
+	if reached {
+		return true
+	}
+	var others []registry.Instance
+	for _, in := range g.o.Directory.View().All {
+		if in.ID != than.ID && !in.Draining {
+			others = append(others, in)
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	results := make(chan bool, maxOthersAsked)
+	asked := others[:min(len(others), maxOthersAsked)]
+	for _, in := range asked {
+		go func() { results <- g.probeReach(in, crashCheckTimeout) }()
+	}
+	for range asked {
+		if <-results {
+			return true
+		}
+	}
+	return false
 }
 
 // forwardedResponse is the complete response of another daemon.
