--- a/gateway/pursuit.go
+++ b/gateway/backgroundstop.go
@@ -14,44 +14,44 @@
 var errRunUnknown = errors.New("engine does not run the attempt")
 
 const (
-	// pursuitTime is how long a run is tried to be stopped that its stream has left. A healthy
+	// backgroundStopTime is how long a run is tried to be stopped that its stream has left. A healthy
 	// engine may be silent for about a second, and reads a long prompt in about a second.
-	pursuitTime = 3 * time.Second
+	backgroundStopTime = 3 * time.Second
 	// abandonedStopTime is the same for a run whose client has left. The client may resume its
 	// stream through another daemon under the same ID, and the call would stop that run.
 	abandonedStopTime = 400 * time.Millisecond
-	// pursuitPause is the pause between two tries. Two engines may work on a stream for 400 ms
+	// backgroundStopPause is the pause between two tries. Two engines may work on a stream for 400 ms
 	// once the first of them can be reached.
-	pursuitPause = 250 * time.Millisecond
+	backgroundStopPause = 250 * time.Millisecond
 )
 
-// pursuit is a run that is being stopped in the background.
-type pursuit struct {
+// backgroundStop is a run that is being stopped in the background.
+type backgroundStop struct {
 	cancel context.CancelFunc
 	ended  chan struct{}
 }
 
-// pursuitKey identifies a run by what the call that stops it names: the client's attempt and the
+// backgroundStopKey identifies a run by what the call that stops it names: the client's attempt and the
 // address of the engine. A client resumes its stream under the same ID, and an engine that has
 // restarted has another ID at the same address.
-type pursuitKey struct{ attempt, address string }
+type backgroundStopKey struct{ attempt, address string }
 
-// pursue stops a run that its stream has left without the engine's answer. The engine may have
+// stopInBackground stops a run that its stream has left without the engine's answer. The engine may have
 // missed that the connection was closed, and may be reachable again in a moment: it is tried for
 // the time limit.
-func (s *stream) pursue(p assignment, limit time.Duration) {
+func (s *stream) stopInBackground(p assignment, limit time.Duration) {
 	to, ok := s.stopTarget(p)
 	if !ok {
 		return
 	}
 	g, id := s.g, s.r.ID
-	key := pursuitKey{id, p.upstream.Address}
-	g.endPursuit(key)
+	key := backgroundStopKey{id, p.upstream.Address}
+	g.endBackgroundStop(key)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	begun := pursuit{cancel: cancel, ended: make(chan struct{})}
+	begun := backgroundStop{cancel: cancel, ended: make(chan struct{})}
 	listed := s.runEvents > 0
 	g.mu.Lock()
-	g.pursuits[key] = begun
+	g.backgroundStops[key] = begun
 	g.mu.Unlock()
 	go func() {
 		defer close(begun.ended)
@@ -59,17 +59,17 @@
 		g.stopLeftRun(ctx, id, p.upstream, to, listed)
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if g.pursuits[key].ended == begun.ended {
-			delete(g.pursuits, key)
+		if g.backgroundStops[key].ended == begun.ended {
+			delete(g.backgroundStops, key)
 		}
 	}()
 }
 
-// endPursuit ends the tries to stop an earlier run at an engine, which would stop the next run
+// endBackgroundStop ends the tries to stop an earlier run at an engine, which would stop the next run
 // of the same attempt there.
-func (g *Gateway) endPursuit(key pursuitKey) {
+func (g *Gateway) endBackgroundStop(key backgroundStopKey) {
 	g.mu.Lock()
-	begun, ok := g.pursuits[key]
+	begun, ok := g.backgroundStops[key]
 	g.mu.Unlock()
 	if ok {
 		begun.cancel()
@@ -92,7 +92,7 @@
 			return
 		case listed && errors.Is(err, errRunUnknown), errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrConnectTimeout):
 			return
-		case !pause.For(ctx, pursuitPause):
+		case !pause.For(ctx, backgroundStopPause):
 			g.o.Logger.Info("run not stopped that its stream had left", "id", id, "upstream", at.ID, "cause", err)
 			return
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,8 +76,8 @@
 	// adopt is running.
 	adopted          registry.Takeovers
 	adoptionsRunning map[string]bool
-	// pursuits holds the runs that are being stopped in the background.
-	pursuits map[pursuitKey]pursuit
+	// backgroundStops holds the runs that are being stopped in the background.
+	backgroundStops map[backgroundStopKey]backgroundStop
 
 	// forwarder is nil if requests are not forwarded to other daemons.
 	forwarder *forwarder
@@ -100,7 +100,7 @@
 		heldBodies:  byteLimiter{limit: o.MaxHeldBodyBytes, headLimit: o.MaxHeldHeadBytes},
 		crashes:     quarantine.NewCrashLog(quarantine.CrashLogOptions{}),
 		partCrashes: quarantine.NewPartLog(quarantine.PartLogOptions{}), partReportRevisions: map[string]uint64{},
-		adoptionsRunning: map[string]bool{}, pursuits: map[pursuitKey]pursuit{}, usualLatency: map[string]time.Duration{},
+		adoptionsRunning: map[string]bool{}, backgroundStops: map[backgroundStopKey]backgroundStop{}, usualLatency: map[string]time.Duration{},
 	}
 	if o.Forward != nil {
 		g.forwarder = newForwarder(g, *o.Forward)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -177,7 +177,7 @@
 // has its complete response.
 func (s *stream) run(ctx context.Context, p *assignment) failover.Step {
 	g := s.g
-	g.endPursuit(pursuitKey{s.r.ID, p.upstream.Address})
+	g.endBackgroundStop(backgroundStopKey{s.r.ID, p.upstream.Address})
 	began := time.Now()
 	s.attempts++
 	s.runs++
@@ -310,7 +310,7 @@
 			s.stopReason = "deadline"
 			if s.state.Silent(time.Now()) {
 				// The client may resume the stream at another daemon.
-				s.pursue(*p, abandonedStopTime)
+				s.stopInBackground(*p, abandonedStopTime)
 			}
 			return failover.StepGiveUp
 		}
@@ -322,7 +322,7 @@
 			if held && step != failover.StepGiveUp && s.stopRun(ctx, p) {
 				step = failover.StepRestore
 			} else {
-				s.pursue(*p, pursuitTime)
+				s.stopInBackground(*p, backgroundStopTime)
 			}
 			s.recordLoss(*p, step, cause, began)
 			return step
@@ -392,7 +392,7 @@
 	}
 	if m.verdict == verdictBroken && !errors.Is(m.err, errPauseAsked) {
 		// The connection may have ended on this side only.
-		s.pursue(p, pursuitTime)
+		s.stopInBackground(p, backgroundStopTime)
 	}
 	step := s.state.Lost()
 	s.recordLoss(p, step, m.err, began)
